--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks that print ratios of paired variants."""
--- /dev/null
+++ b/poplarspoke/__init__.py
@@ -0,0 +1,1 @@
+"""A database proxy with session consistency."""
--- /dev/null
+++ b/poplarspoke/schema/members.capnp
@@ -0,0 +1,115 @@
+@0xb1d0a3f0c0de0003;
+
+using Common = import "common.capnp";
+
+enum Role {
+  # Role of a database member.
+  replica @0;
+  primary @1;
+}
+
+struct Execute {
+  # One statement for an endpoint; POST /execute.
+  requestId @0 :Text;
+  workspace @1 :Text;
+  term @2 :UInt64;  # Term that the sender believes in; 0 for reads on replicas.
+  text @3 :Text;
+  parameters @4 :List(Text);
+  write @5 :Bool;
+  record @6 :Bool;  # Store the request id and the answer with the write.
+}
+
+struct TransactionControl {
+  # Begins or ends the transaction of a connection; POST /begin, /commit, /rollback.
+  requestId @0 :Text;
+  workspace @1 :Text;
+  term @2 :UInt64;
+}
+
+struct MemberAnswer {
+  # Answer of an endpoint to one statement.
+  requestId @0 :Text;
+  position @1 :Common.Position;  # Of the write, or of the log's end.
+  ageS @2 :Float64;
+  queued @3 :UInt32;  # Statements that wait for a slot.
+  rows @4 :Text;  # JSON array.
+  repeated @5 :Bool;
+  refused @6 :Bool;
+  refusal @7 :Common.Refusal;
+}
+
+struct MemberStatus {
+  # State of a member; GET /status.
+  endpoint @0 :Text;
+  adoptedTerm @1 :UInt64;
+  role @2 :Role;
+  last @3 :Common.Position;  # Last log entry.
+  ageS @4 :Float64;  # Seconds since the member knew that it was up to date.
+  primary @5 :Text;  # Endpoint that the member follows.
+  primaryHeardS @6 :Float64;  # Seconds since the last message of the primary.
+  queued @7 :UInt32;
+}
+
+struct Confirm {
+  # Asks whether a member holds a log entry in a term; POST /confirm.
+  position @0 :Common.Position;
+  waitS @1 :Float64;  # Seconds to wait for replication.
+}
+
+struct Confirmed {
+  # Answer to Confirm.
+  confirmed @0 :Bool;  # The entry is held and its term still adopted.
+  adoptedTerm @1 :UInt64;
+}
+
+struct Adopt {
+  # Asks a member to adopt a term for one candidate; POST /adopt.
+  term @0 :UInt64;
+  candidate @1 :Text;  # Host and nonce, unique for each attempt.
+}
+
+struct Adopted {
+  # Answer to Adopt.
+  granted @0 :Bool;
+  adoptedTerm @1 :UInt64;
+  last @2 :Common.Position;
+  endpoint @3 :Text;
+}
+
+struct Promote {
+  # Makes a member the primary of a term; POST /promote.
+  term @0 :UInt64;
+  candidate @1 :Text;
+}
+
+struct Follow {
+  # Names the primary of a term to a member; POST /follow.
+  term @0 :UInt64;
+  primary @1 :Text;
+  address @2 :Text;  # IP:port of the primary.
+}
+
+struct LogEntry {
+  # One entry of a database log.
+  position @0 :Common.Position;
+  workspace @1 :Text;
+  effect @2 :Text;  # JSON of the changed values.
+  requestId @3 :Text;
+  answer @4 :Text;  # Recorded answer, JSON.
+}
+
+struct Replicate {
+  # Log entries from the primary; POST /replicate.
+  term @0 :UInt64;
+  primary @1 :Text;
+  previous @2 :Common.Position;
+  entries @3 :List(LogEntry);
+  end @4 :Common.Position;  # End of the primary's log.
+}
+
+struct Replicated {
+  # Answer to Replicate.
+  accepted @0 :Bool;
+  adoptedTerm @1 :UInt64;
+  last @2 :Common.Position;
+}
--- /dev/null
+++ b/poplarspoke/schema/platform.capnp
@@ -0,0 +1,64 @@
+@0xb1d0a3f0c0de0004;
+
+struct Row {
+  # One row of the transactional table; version 0 means that it is absent.
+  key @0 :Text;
+  version @1 :UInt64;
+  content @2 :Text;  # JSON.
+}
+
+struct RowCondition {
+  # Version that a row must have for a commit.
+  key @0 :Text;
+  version @1 :UInt64;
+}
+
+struct RowWrite {
+  # New content of a row.
+  key @0 :Text;
+  content @1 :Text;
+}
+
+struct Commit {
+  # Transaction with compare-and-set conditions; POST /commit.
+  conditions @0 :List(RowCondition);
+  writes @1 :List(RowWrite);
+}
+
+struct CommitResult {
+  # Answer to Commit.
+  committed @0 :Bool;
+  rows @1 :List(Row);  # Current rows of all conditions.
+  nowS @2 :Float64;  # Clock of the table in seconds.
+}
+
+struct ReadRows {
+  # Reads rows by key; POST /read.
+  keys @0 :List(Text);
+}
+
+struct RowsRead {
+  # Answer to ReadRows.
+  rows @0 :List(Row);
+  nowS @1 :Float64;
+}
+
+struct HostEntry {
+  # A host on the platform's list.
+  name @0 :Text;
+  zone @1 :Text;
+  address @2 :Text;  # IP:port of the peer listener.
+  leaving @3 :Bool;
+}
+
+struct HostList {
+  # Lagging list of live and leaving hosts; GET /hosts.
+  hosts @0 :List(HostEntry);
+  ageS @1 :Float64;
+}
+
+struct StoredObject {
+  # Content of the object store; PUT and GET /objects/NAME.
+  name @0 :Text;
+  content @1 :Text;
+}
--- /dev/null
+++ b/poplarspoke/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and the endpoints, and their load tool."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; each module mirrors one module of the package."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools of the repository."""
