Reject numbers and texts that a codec cannot hold

A NaN in a frame would make every position or age comparison false, and JSON admits lone surrogates that UTF-8 cannot encode. Both are refused at decode.

--- a/poplarspoke/codec.py
+++ b/poplarspoke/codec.py
@@ -7,6 +7,7 @@
 
 import enum
 import functools
+import math
 import pathlib
 from collections.abc import Callable, Mapping
 from typing import Any, NamedTuple, TypeVar
@@ -18,6 +19,10 @@
 TRAVERSAL_LIMIT_WORDS = 131072
 NESTING_LIMIT = 16
 SHOWN_NAME_CHARACTERS = 64
+MAX_INTEGER = 0xFFFFFFFFFFFFFFFF
+# Lone surrogates are valid in JSON but not in UTF-8.
+SURROGATES_START = '\ud800'
+SURROGATES_END = '\udfff'
 
 Message = TypeVar('Message')
 Parse = Callable[[Mapping[str, Any], str], Message]
@@ -222,13 +227,45 @@
     is_integer = isinstance(found, int) and not isinstance(found, bool)
     if kind is float and is_integer:
         found = float(found)
-    if found.__class__ is not kind:
+    if found.__class__ is not kind or not _is_encodable(found):
         wanted = getattr(kind, '__name__', 'value')
-        raise FormatError(f'field {path!r} must be of type {wanted}')
+        raise FormatError(f'field {path!r} must be a valid {wanted}')
     checked: Message = found
     return checked
 
 
+@functools.singledispatch
+def _is_encodable(found: Any) -> bool:
+    """Returns whether capnp can hold a value that JSON could."""
+    return True
+
+
+@_is_encodable.register
+def _(found: float) -> bool:
+    return math.isfinite(found)
+
+
+@_is_encodable.register
+def _(found: int) -> bool:
+    return 0 <= found <= MAX_INTEGER
+
+
+@_is_encodable.register
+def _(found: str) -> bool:
+    return not any(SURROGATES_START <= char <= SURROGATES_END for char in found)
+
+
+def finite(number: float) -> float:
+    """Returns a number of a frame; NaN would break every comparison.
+
+    Raises:
+        FormatError: The number is infinite or not a number.
+    """
+    if math.isfinite(number):
+        return number
+    raise FormatError('a number in a frame must be finite')
+
+
 def _parse_hex(text: str, path: str) -> bytes:
     try:
         return bytes.fromhex(text)
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -304,6 +304,8 @@
         return f'{name}({source}.raw)'
     if repeated:
         return f'tuple({source})'
+    if name == 'float':
+        return f'codec.finite({source})'
     return source
 
 
