Add HTTP/1.1 over anyio with bounded input

Both sides of the proxy and the stand-ins share one small layer over h11. A request that never left raises NotSentError and a lost answer AnswerLostError, so that callers of this layer can tell 'not run' from 'unknown'.

--- /dev/null
+++ b/poplarspoke/web.py
@@ -0,0 +1,360 @@
+"""HTTP/1.1 over anyio streams, with ``h11`` as the codec.
+
+One task owns each socket. Sizes and times are bounded, since callers are
+hostile. An answer that is cut off raises; it is never returned short.
+"""
+
+import http
+import json
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple, Self, TypeAlias, TypeVar
+
+import anyio
+import h11
+from anyio.abc import ByteStream, TaskGroup
+
+from poplarspoke import codec as message_codec
+from poplarspoke import errors
+from poplarspoke.generated.common import ErrorCode
+
+MAX_HEADER_BYTES = 16384
+MAX_BODY_BYTES = 262144
+RECEIVE_BYTES = 65536
+HEADER_TIMEOUT_S = 10.0
+IDLE_TIMEOUT_S = 60.0
+CONNECT_TIMEOUT_S = 1.0
+JSON_TYPE = 'application/json'
+STREAM_ERRORS = (
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    anyio.EndOfStream,
+    TimeoutError,
+)
+EXCHANGE_ERRORS = (*STREAM_ERRORS, h11.ProtocolError)
+
+Message = TypeVar('Message')
+
+
+class Header(NamedTuple):
+    """One header field; the name is in lower case."""
+
+    name: str
+    value: str
+
+
+class Request(NamedTuple):
+    """A whole HTTP request."""
+
+    method: str
+    path: str
+    headers: tuple[Header, ...] = ()
+    body: bytes = b''
+
+    def find_header(self, name: str) -> str:
+        """Returns the value of a header, empty if it is absent."""
+        for header in self.headers:
+            if header.name == name:
+                return header.value
+        return ''
+
+
+class Response(NamedTuple):
+    """A whole HTTP response."""
+
+    status: int
+    body: bytes = b''
+    headers: tuple[Header, ...] = ()
+    content_type: str = JSON_TYPE
+
+
+Handler: TypeAlias = Callable[[Request], Awaitable[Response]]
+
+
+class NotSentError(errors.PoplarspokeError):
+    """The connection was refused; the request provably did not run."""
+
+    code = ErrorCode.NO_ENDPOINT
+
+
+class AnswerLostError(errors.PoplarspokeError):
+    """No whole answer came; the request may have run."""
+
+    code = ErrorCode.OUTCOME_UNKNOWN
+
+
+class HttpServer:
+    """Serves HTTP on one listener; a context manager that owns its sockets.
+
+    Attributes:
+        port: TCP port that the listener is bound to.
+    """
+
+    def __init__(self, handler: Handler, *, host: str, port: int) -> None:
+        """Keeps the handler and the address; port 0 takes a free one."""
+        self.port = port
+        self._handler = handler
+        self._host = host
+        self._group: TaskGroup
+        self._closing = False
+        self._active = 0
+
+    async def __aenter__(self) -> Self:
+        """Binds the listener and starts to accept connections."""
+        self._listener = await anyio.create_tcp_listener(
+            local_host=self._host,
+            local_port=self.port,
+        )
+        address = self._listener.extra(anyio.abc.SocketAttribute.local_address)
+        self.port = int(address[1])
+        self._group = await anyio.create_task_group().__aenter__()
+        self._group.start_soon(self._listener.serve, self._serve)
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        """Closes the listener and every connection."""
+        self._group.cancel_scope.cancel()
+        await self._group.__aexit__(None, None, None)
+        await self._listener.aclose()
+
+    def begin_shutdown(self) -> None:
+        """Makes each connection close after its current answer."""
+        self._closing = True
+
+    @property
+    def active(self) -> int:
+        """Number of requests that have no answer yet."""
+        return self._active
+
+    async def _serve(self, stream: ByteStream) -> None:
+        async with stream:
+            try:
+                await self._serve_requests(stream)
+            except STREAM_ERRORS:
+                return
+
+    async def _serve_requests(self, stream: ByteStream) -> None:
+        codec = _create_codec(h11.SERVER)
+        while True:
+            try:
+                request = await _read_request(codec, stream)
+            except h11.RemoteProtocolError as exc:
+                await _refuse_input(codec, stream, exc)
+                return
+            if request is None:
+                return
+            self._active += 1
+            try:
+                response = await self._handler(request)
+                await _send_response(
+                    codec,
+                    stream,
+                    response,
+                    close=self._closing,
+                )
+            finally:
+                self._active -= 1
+            if codec.our_state is not h11.DONE or self._closing:
+                return
+            codec.start_next_cycle()
+
+
+class HttpConnection:
+    """One client connection; an async context manager that owns its socket.
+
+    It carries one request at a time. After an error it must not be used again.
+    """
+
+    def __init__(self, stream: ByteStream, address: str) -> None:
+        """Takes an open stream; use ``connect`` to open one."""
+        self._stream = stream
+        self._address = address
+        self._codec = _create_codec(h11.CLIENT)
+
+    async def __aenter__(self) -> Self:
+        """Returns the connection."""
+        return self
+
+    async def __aexit__(self, *_exc: object) -> None:
+        """Closes the socket without waiting for the peer."""
+        await anyio.aclose_forcefully(self._stream)
+
+    async def send(self, request: Request, *, timeout_s: float) -> Response:
+        """Sends a request and returns its whole answer.
+
+        Args:
+            request: The request; host and length headers are added.
+            timeout_s: Seconds until the answer must be complete.
+
+        Raises:
+            AnswerLostError: The connection broke, went silent, or the peer
+                sent no valid answer; the request may have run.
+        """
+        try:
+            with anyio.fail_after(timeout_s):
+                return await self._send(request)
+        except EXCHANGE_ERRORS as exc:
+            raise AnswerLostError(
+                f'no whole answer from {self._address}: {type(exc).__name__}',
+            ) from exc
+
+    async def _send(self, request: Request) -> Response:
+        headers = [
+            ('host', self._address),
+            ('content-type', JSON_TYPE),
+            ('content-length', str(len(request.body))),
+            *request.headers,
+        ]
+        head = h11.Request(
+            method=request.method,
+            target=request.path,
+            headers=headers,
+        )
+        payload = [
+            self._codec.send(head) or b'',
+            self._codec.send(h11.Data(data=request.body)) or b'',
+            self._codec.send(h11.EndOfMessage()) or b'',
+        ]
+        await self._stream.send(b''.join(payload))
+        response = await self._read_response()
+        self._codec.start_next_cycle()
+        return response
+
+    async def _read_response(self) -> Response:
+        head = await _next_event(self._codec, self._stream)
+        if not isinstance(head, h11.Response):
+            raise h11.RemoteProtocolError('expected a response')
+        body = await _read_body(self._codec, self._stream)
+        return Response(head.status_code, body, _read_headers(head))
+
+
+async def connect(address: str) -> HttpConnection:
+    """Opens a connection to ``IP:port``.
+
+    Raises:
+        NotSentError: Nobody answered within ``CONNECT_TIMEOUT_S``.
+    """
+    host, _, port = address.rpartition(':')
+    try:
+        with anyio.fail_after(CONNECT_TIMEOUT_S):
+            stream = await anyio.connect_tcp(host, int(port))
+    except (OSError, TimeoutError) as exc:
+        raise NotSentError(f'{address} refused the connection') from exc
+    return HttpConnection(stream, address)
+
+
+def write_json(content: Any) -> bytes:
+    """Returns the JSON bytes of a message or of plain data."""
+    return json.dumps(message_codec.to_object(content)).encode()
+
+
+def read_json(message_type: type[Message], body: bytes) -> Message:
+    """Returns the message that a JSON body holds.
+
+    Raises:
+        codec.FormatError: The body is no JSON object of this type.
+    """
+    try:
+        source = json.loads(body)
+    except (ValueError, RecursionError) as exc:
+        raise message_codec.FormatError('the body is no valid JSON') from exc
+    return message_codec.parse(message_type, source)
+
+
+def _create_codec(role: type[h11.SERVER | h11.CLIENT]) -> h11.Connection:
+    return h11.Connection(role, max_incomplete_event_size=MAX_HEADER_BYTES)
+
+
+async def _next_event(codec: h11.Connection, stream: ByteStream) -> h11.Event:
+    while True:
+        event = codec.next_event()
+        if event is h11.PAUSED:
+            raise h11.RemoteProtocolError('pipelined input is not supported')
+        if event is not h11.NEED_DATA:
+            return event  # type: ignore[return-value]
+        try:
+            codec.receive_data(await stream.receive(RECEIVE_BYTES))
+        except anyio.EndOfStream:
+            codec.receive_data(b'')
+
+
+async def _read_request(
+    codec: h11.Connection,
+    stream: ByteStream,
+) -> Request | None:
+    """Returns the next request, or None at the end of the connection."""
+    with anyio.fail_after(IDLE_TIMEOUT_S):
+        head = await _next_event(codec, stream)
+    if not isinstance(head, h11.Request):
+        return None
+    with anyio.fail_after(HEADER_TIMEOUT_S):
+        body = await _read_body(codec, stream)
+    return Request(
+        head.method.decode('ascii'),
+        head.target.decode('ascii'),
+        _read_headers(head),
+        body,
+    )
+
+
+async def _read_body(codec: h11.Connection, stream: ByteStream) -> bytes:
+    parts: list[bytes] = []
+    size = 0
+    while True:
+        event = await _next_event(codec, stream)
+        if isinstance(event, h11.EndOfMessage):
+            return b''.join(parts)
+        if not isinstance(event, h11.Data):
+            raise h11.RemoteProtocolError('the message was cut off')
+        size += len(event.data)
+        if size > MAX_BODY_BYTES:
+            raise h11.RemoteProtocolError(
+                f'the body is over {MAX_BODY_BYTES} bytes',
+                error_status_hint=http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+            )
+        parts.append(bytes(event.data))
+
+
+def _read_headers(head: h11.Request | h11.Response) -> tuple[Header, ...]:
+    return tuple(
+        Header(name.decode('ascii'), text.decode('latin-1'))
+        for name, text in head.headers
+    )
+
+
+async def _send_response(
+    codec: h11.Connection,
+    stream: ByteStream,
+    response: Response,
+    *,
+    close: bool,
+) -> None:
+    headers = [
+        ('content-type', response.content_type),
+        ('content-length', str(len(response.body))),
+        *response.headers,
+    ]
+    if close:
+        headers.append(('connection', 'close'))
+    head = h11.Response(status_code=response.status, headers=headers)
+    payload = [
+        codec.send(head) or b'',
+        codec.send(h11.Data(data=response.body)) or b'',
+        codec.send(h11.EndOfMessage()) or b'',
+    ]
+    await stream.send(b''.join(payload))
+
+
+async def _refuse_input(
+    codec: h11.Connection,
+    stream: ByteStream,
+    exc: h11.RemoteProtocolError,
+) -> None:
+    if codec.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
+        return
+    status = http.HTTPStatus(exc.error_status_hint)
+    code = ErrorCode.BAD_REQUEST
+    if status is not http.HTTPStatus.BAD_REQUEST:
+        code = ErrorCode.TOO_LARGE
+    refusal = errors.refuse(code, 'the HTTP request cannot be read')
+    response = Response(status, write_json({'error': refusal}))
+    await _send_response(codec, stream, response, close=True)
--- /dev/null
+++ b/tests/test_web.py
@@ -0,0 +1,85 @@
+"""Guards the HTTP layer against hostile input and cut-off answers."""
+
+import anyio
+import pytest
+
+from poplarspoke import web
+
+pytestmark = pytest.mark.anyio
+LOOPBACK = '127.0.0.1'
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    """Runs the tests on the back end that the daemons use."""
+    return 'asyncio'
+
+
+async def echo(request: web.Request) -> web.Response:
+    """Answers with the body of the request."""
+    return web.Response(200, request.body)
+
+
+async def test_whole_answer_to_own_request() -> None:
+    """A codec that loses bytes would return a short or wrong answer."""
+    async with web.HttpServer(echo, host=LOOPBACK, port=0) as server:
+        connection = await web.connect(f'{LOOPBACK}:{server.port}')
+        async with connection:
+            for body in (b'a' * 200_000, b'', b'b'):
+                request = web.Request('POST', '/', body=body)
+                response = await connection.send(request, timeout_s=10)
+                assert response.body == body
+
+
+@pytest.mark.parametrize(
+    ('sent', 'status'),
+    [
+        (b'POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 999999\r\n\r\n', 413),
+        (b'GET / HTTP/1.1\r\nhost: x\r\nx: ' + b'y' * 40_000, 431),
+        (b'\x00\x01\x02\r\n\r\n', 400),
+    ],
+)
+async def test_hostile_input_is_refused(sent: bytes, status: int) -> None:
+    """Oversized or malformed input must neither hang nor end the server."""
+    async with web.HttpServer(echo, host=LOOPBACK, port=0) as server:
+        stream = await anyio.connect_tcp(LOOPBACK, server.port)
+        async with stream:
+            with anyio.fail_after(10):
+                await stream.send(sent)
+                if status == 413:
+                    await stream.send(b'z' * 400_000)
+                answer = await stream.receive()
+        assert answer.startswith(f'HTTP/1.1 {status} '.encode())
+        connection = await web.connect(f'{LOOPBACK}:{server.port}')
+        async with connection:
+            request = web.Request('POST', '/', body=b'still here')
+            response = await connection.send(request, timeout_s=10)
+            assert response.body == b'still here'
+
+
+async def test_cut_off_answer_raises() -> None:
+    """An answer that breaks off must never be returned short."""
+
+    async def cut(stream: anyio.abc.SocketStream) -> None:
+        async with stream:
+            await stream.receive()
+            await stream.send(b'HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nab')
+
+    async with (
+        await anyio.create_tcp_listener(local_host=LOOPBACK) as listener,
+        anyio.create_task_group() as group,
+    ):
+        group.start_soon(listener.serve, cut)
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        async with await web.connect(f'{LOOPBACK}:{port}') as connection:
+            with pytest.raises(web.AnswerLostError):
+                await connection.send(web.Request('GET', '/'), timeout_s=10)
+        group.cancel_scope.cancel()
+
+
+async def test_refused_connection_is_not_sent() -> None:
+    """Only a request that never left may be reported as not run."""
+    async with await anyio.create_tcp_listener(local_host=LOOPBACK) as listener:
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    with pytest.raises(web.NotSentError):
+        await web.connect(f'{LOOPBACK}:{port}')
