--- a/tools/generate.py
+++ b/tools/generate.py
@@ -2,7 +2,7 @@
 
 Each ``poplarspoke/schema/NAME.capnp`` becomes
 ``poplarspoke/generated/NAME.py`` with one ``NamedTuple`` for each struct and
-its codecs; ``settings.json`` becomes ``TypedDict`` settings.
+its codecs; each ``NAME.json`` becomes ``TypedDict`` settings.
 
 Run ``python -m tools.generate`` to write the files and
 ``python -m tools.generate --check`` to verify that they are current.
@@ -435,8 +435,8 @@
         TARGET_DIR / f'{path.stem}.py': render_module(path)
         for path in sorted(SCHEMA_DIR.glob('*.capnp'))
     }
-    settings = SCHEMA_DIR / 'settings.json'
-    rendered[TARGET_DIR / 'settings.py'] = render_settings(settings)
+    for path in sorted(SCHEMA_DIR.glob('*.json')):
+        rendered[TARGET_DIR / f'{path.stem}.py'] = render_settings(path)
     return rendered
 
 
