--- a/poplarspoke/schema/platform.capnp
+++ b/poplarspoke/schema/platform.capnp
@@ -62,3 +62,8 @@
   name @0 :Text;
   content @1 :Text;
 }
+
+struct StoreFailed {
+  # A store request got no whole answer; a change may have taken effect.
+  reason @0 :Text;
+}
--- a/poplarspoke/schema/requests.capnp
+++ b/poplarspoke/schema/requests.capnp
@@ -32,6 +32,14 @@
   budgetS @9 :Float64;  # Seconds until the caller's deadline.
 }
 
+struct RequestBody {
+  # JSON body of a caller's request.
+  route @0 :Text;
+  statement @1 :Text;
+  parameters @2 :List(Text);
+  transaction @3 :Text;  # Transaction id, empty outside of one.
+}
+
 struct Statement {
   # A checked request on its way to an endpoint; it has no field for a key.
   requestId @0 :Text;
--- /dev/null
+++ b/poplarspoke/store.py
@@ -0,0 +1,157 @@
+"""Client of the platform's table, object store and host list.
+
+A request that got no whole answer raises ``errors.StoreError``: a change may
+have taken effect, so the caller reads the rows again before it repeats it.
+"""
+
+import functools
+from collections.abc import Callable
+from typing import Any, Self, TypeAlias
+
+import anyio
+
+from poplarspoke import errors, web
+from poplarspoke.generated.platform import (
+    Commit,
+    CommitResult,
+    HostEntry,
+    HostList,
+    ReadRows,
+    RowsRead,
+    StoreFailed,
+)
+
+TIMEOUT_S = 1.0
+QUEUE_SIZE = 256
+
+
+class Store:
+    """One connection to the platform; reconnects after an error.
+
+    An async context manager that owns the connection.
+
+    Attributes:
+        reachable: Whether the last request was answered.
+    """
+
+    def __init__(self, address: str) -> None:
+        """Keeps the ``IP:port`` of the platform's service."""
+        self.reachable = False
+        self._address = address
+        self._connection: web.HttpConnection | None = None
+
+    async def __aenter__(self) -> Self:
+        """Returns the client; it connects with the first request."""
+        return self
+
+    async def __aexit__(self, *_exc: object) -> None:
+        """Closes the connection."""
+        await self._close()
+
+    async def commit(self, change: Commit) -> CommitResult:
+        """Commits a transaction with compare-and-set conditions."""
+        body = await self._send('POST', '/commit', change)
+        return web.read_json(CommitResult, body)
+
+    async def read(self, rows: ReadRows) -> RowsRead:
+        """Reads rows by key."""
+        body = await self._send('POST', '/read', rows)
+        return web.read_json(RowsRead, body)
+
+    async def list_hosts(self) -> HostList:
+        """Returns the platform's lagging list of hosts."""
+        body = await self._send('GET', '/hosts', None)
+        return web.read_json(HostList, body)
+
+    async def announce(self, entry: HostEntry) -> None:
+        """Tells the platform's list of this host."""
+        await self._send('POST', '/hosts', entry)
+
+    async def _send(self, method: str, path: str, message: Any) -> bytes:
+        body = b'' if message is None else web.write_json(message)
+        request = web.Request(method, path, body=body)
+        try:
+            response = await self._send_once(request)
+        except (web.NotSentError, web.AnswerLostError) as exc:
+            self.reachable = False
+            await self._close()
+            raise errors.StoreError(str(exc)) from exc
+        self.reachable = response.status < web.FIRST_ERROR_STATUS
+        if not self.reachable:
+            raise errors.StoreError(
+                f'the platform answered {path} with status {response.status}',
+            )
+        return response.body
+
+    async def _send_once(self, request: web.Request) -> web.Response:
+        if self._connection is None:
+            self._connection = await web.connect(self._address)
+        return await self._connection.send(request, timeout_s=TIMEOUT_S)
+
+    async def _close(self) -> None:
+        connection = self._connection
+        self._connection = None
+        if connection is not None:
+            await connection.__aexit__(None, None, None)
+
+
+OnAnswer: TypeAlias = Callable[[str, Any], None]
+
+
+@functools.singledispatch
+async def call_store(message: Any, store: Store) -> Any:
+    """Sends one request of a decision module by its type."""
+    raise TypeError(f'{type(message).__name__} is no store request')
+
+
+@call_store.register
+async def _(message: Commit, store: Store) -> Any:
+    return await store.commit(message)
+
+
+@call_store.register
+async def _(message: ReadRows, store: Store) -> Any:
+    return await store.read(message)
+
+
+class StoreTask:
+    """Carries the store requests of one task, in order, on its own connection.
+
+    An async context manager that owns the connection and the queue.
+    """
+
+    def __init__(self, address: str, task: str, on_answer: OnAnswer) -> None:
+        """Takes the platform's ``IP:port``, the asking task and the callback."""
+        self._store = Store(address)
+        self._task = task
+        self._on_answer = on_answer
+        ends = anyio.create_memory_object_stream[Any](QUEUE_SIZE)
+        self._inbox = ends[0]
+        self._outbox = ends[1]
+
+    async def __aenter__(self) -> Self:
+        """Returns the task."""
+        return self
+
+    async def __aexit__(self, *_exc: object) -> None:
+        """Closes the queue and the connection."""
+        self._inbox.close()
+        self._outbox.close()
+        await self._store.__aexit__(None, None, None)
+
+    def post(self, message: Any) -> None:
+        """Queues a request; a full queue answers with ``StoreFailed``."""
+        try:
+            self._inbox.send_nowait(message)
+        except anyio.WouldBlock:
+            self._on_answer(self._task, StoreFailed('the queue is full'))
+
+    async def run(self) -> None:
+        """Carries requests until it is cancelled."""
+        while True:
+            message = await self._outbox.receive()
+            try:
+                answer = await call_store(message, self._store)
+            except errors.StoreError as exc:
+                answer = StoreFailed(str(exc))
+            self._on_answer(self._task, answer)
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,123 @@
+"""Guards the links between daemons against strangers and lost results."""
+
+import functools
+from contextlib import AsyncExitStack
+
+import anyio
+import pytest
+
+from poplarspoke import peers, wire
+from poplarspoke.generated.common import ErrorCode, Outcome
+from poplarspoke.generated.membership import Heartbeat
+from poplarspoke.generated.peers import Hello
+from poplarspoke.generated.requests import Statement, StatementResult
+
+pytestmark = pytest.mark.anyio
+LOOPBACK = '127.0.0.1'
+SECRET = b'peer-secret-of-tests'
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    """Runs the tests on the back end that the daemons use."""
+    return 'asyncio'
+
+
+async def reverse(statement: Statement) -> StatementResult:
+    """Answers later statements first, so that results cross."""
+    await anyio.sleep(0.002 * (20 - int(statement.request_id)))
+    return StatementResult(statement.request_id, rows=statement.text)
+
+
+async def never(statement: Statement) -> StatementResult:
+    """Never answers."""
+    await anyio.sleep_forever()
+    raise AssertionError
+
+
+def open_peers(
+    name: str,
+    on_statement: peers.OnStatement,
+    secret: bytes = SECRET,
+    heard: list[tuple[str, object]] | None = None,
+) -> peers.Peers:
+    """Returns a peer listener on a free port."""
+    received: list[tuple[str, object]] = [] if heard is None else heard
+    return peers.Peers(
+        name=name,
+        secret=secret,
+        listen=(LOOPBACK, 0),
+        on_message=lambda sender, message: received.append((sender, message)),
+        on_statement=on_statement,
+    )
+
+
+async def link(sender: peers.Peers, receiver: peers.Peers) -> None:
+    """Connects one daemon to another."""
+    sender.set_addresses({'b': f'{LOOPBACK}:{receiver.port}'})
+    with anyio.fail_after(10):
+        while not sender.is_connected('b'):
+            await anyio.sleep(0.01)
+
+
+async def test_results_reach_their_own_statement() -> None:
+    """A result joined to another statement would answer a wrong caller."""
+    found: dict[int, str] = {}
+
+    async def forward(sender: peers.Peers, number: int) -> None:
+        statement = Statement(str(number), text=f'text {number}', budget_s=10)
+        found[number] = (await sender.forward('b', statement)).rows
+
+    async with AsyncExitStack() as stack:
+        sender = await stack.enter_async_context(open_peers('a', reverse))
+        receiver = await stack.enter_async_context(open_peers('b', reverse))
+        await link(sender, receiver)
+        async with anyio.create_task_group() as group:
+            for number in range(20):
+                group.start_soon(functools.partial(forward, sender, number))
+    assert found == {number: f'text {number}' for number in range(20)}
+
+
+async def test_wrong_secret_gets_no_link() -> None:
+    """A stranger must not be able to send frames."""
+    heard: list[tuple[str, object]] = []
+    async with AsyncExitStack() as stack:
+        stranger = open_peers('a', never, b'another-secret-of-it')
+        await stack.enter_async_context(stranger)
+        receiver = open_peers('b', never, heard=heard)
+        await stack.enter_async_context(receiver)
+        stranger.set_addresses({'b': f'{LOOPBACK}:{receiver.port}'})
+        await anyio.sleep(0.3)
+        stranger.send('b', Heartbeat(sender='a'))
+        outcome = await stranger.forward('b', Statement('1', budget_s=1))
+        assert not stranger.is_connected('b')
+    assert outcome.refusal.outcome is Outcome.NOT_RUN
+    assert not heard
+
+
+async def test_missing_result_is_unknown() -> None:
+    """A statement that was sent must not be reported as not run."""
+    async with AsyncExitStack() as stack:
+        sender = await stack.enter_async_context(open_peers('a', never))
+        async with open_peers('b', never) as receiver:
+            await link(sender, receiver)
+            statement = Statement('1', budget_s=0.2)
+            outcome = await sender.forward('b', statement)
+    assert outcome.refusal.code is ErrorCode.OUTCOME_UNKNOWN
+
+
+async def test_replayed_handshake_fails() -> None:
+    """A recorded proof must not open a link with another nonce."""
+    identity = wire.LinkIdentity('a', SECRET, b'n' * wire.NONCE_BYTES)
+    first = Hello('b', b'1' * wire.NONCE_BYTES, b'')
+    second = Hello('b', b'2' * wire.NONCE_BYTES, b'')
+    proofs = {
+        wire.compute_proof(
+            identity,
+            hello,
+            prover='a',
+            connector_nonce=identity.nonce,
+        )
+        for hello in (first, second)
+    }
+    assert len(proofs) == 2
