--- /dev/null
+++ b/poplarspoke/schema/sessions.capnp
@@ -0,0 +1,9 @@
+@0xb1d0a3f0c0de0010;
+
+using Common = import "common.capnp";
+
+struct Session {
+  # What a session token says; the token is bound to one workspace.
+  positions @0 :List(Common.DatabasePosition);
+  overflowed @1 :Bool;  # Databases that are not listed need a strict read.
+}
--- a/poplarspoke/sessions.py
+++ b/poplarspoke/sessions.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable
 
 from poplarspoke.generated.common import DatabasePosition, Position
+from poplarspoke.generated.sessions import Session
 
 # Marks a write whose position is not known; only the primary of its term or a
 # member of a later term satisfies it.
@@ -53,11 +54,52 @@
     return Position()
 
 
-def satisfies(last: Position, required: Position) -> bool:
-    """Returns whether a member that holds ``last`` has what is required."""
+def mark_unknown(
+    positions: Positions,
+    database: str,
+    term: int,
+) -> Positions:
+    """Returns the positions after a write with unknown outcome.
+
+    Args:
+        positions: Positions that the session requires so far.
+        database: Database that the write was sent to.
+        term: Term in which the write was sent.
+    """
+    return merge_position(positions, database, Position(term, UNKNOWN_POSITION))
+
+
+def satisfies(
+    last: Position,
+    required: Position,
+    *,
+    primary: bool = False,
+) -> bool:
+    """Returns whether a member that holds ``last`` has what is required.
+
+    Args:
+        last: Last log entry of the member.
+        required: Position that the session requires.
+        primary: Whether the member is the primary of the term of ``last``;
+            it has run every write that was acknowledged in that term.
+    """
+    if primary and last.term == required.term:
+        return True
     return last >= required
 
 
+def limit_age(session: Session, database: str, max_age_s: float) -> float:
+    """Returns the staleness in seconds that a session can tolerate.
+
+    A session that lost the position of a database to the size limit of the
+    token reads that database on the confirmed primary only.
+    """
+    listed = any(entry.database == database for entry in session.positions)
+    if session.overflowed and not listed:
+        return 0
+    return max_age_s
+
+
 def _sort_positions(entries: Iterable[tuple[str, Position]]) -> Positions:
     return tuple(
         DatabasePosition(database, position)
