Add routing of statements and rendezvous ownership of endpoints

A choice names a typed reason and the reason for every endpoint that it passed over, so that operators can see the evidence. Views are past observations; accepts() checks the position and the age that an endpoint answered before the caller sees the answer.

--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,156 @@
+"""Guards against reads and writes on an endpoint that must not serve them."""
+
+import collections
+from typing import Any
+
+import pytest
+
+from poplarspoke import routing, sessions
+from poplarspoke.generated.common import Position
+from poplarspoke.generated.membership import EndpointView
+from poplarspoke.generated.routing import (
+    Candidate,
+    PassedOver,
+    PassReason,
+    RouteQuery,
+    RouteReason,
+)
+
+TERM = 3
+READ = RouteQuery(max_age_s=5, required=Position(TERM, 10), zone='Sfax')
+WRITE = READ._replace(write=True)
+
+
+def create(name: str, zone: str, **view: Any) -> Candidate:
+    """Returns a reachable candidate in service that is up to date."""
+    fields: dict[str, Any] = {
+        'last': Position(TERM, 10),
+        'reachable': True,
+        **view,
+    }
+    return Candidate(
+        EndpointView(endpoint=name, database='label-core')._replace(**fields),
+        zone=zone,
+        in_service=True,
+        returned_ago_s=60,
+    )
+
+
+def change(candidate: Candidate, **view: Any) -> Candidate:
+    """Returns the candidate with other fields in its view."""
+    return candidate._replace(view=candidate.view._replace(**view))
+
+
+PRIMARY = create('p', 'Sfax', primary=True)
+NEAR = create('near', 'Sfax')
+FAR = create('far', 'Sousse')
+BEHIND = Position(TERM, 9)
+
+
+def test_prefers_own_zone_replica() -> None:
+    """Guards against reads that cross zones or load the primary."""
+    choice = routing.choose(READ, (PRIMARY, FAR, NEAR))
+    assert (choice.endpoint, choice.reason) == (
+        'near',
+        RouteReason.OWN_ZONE_REPLICA,
+    )
+    assert PassedOver('far', PassReason.LESS_PREFERRED) in choice.passed
+
+
+@pytest.mark.parametrize(
+    ('near', 'reason'),
+    [
+        (NEAR._replace(in_service=False), PassReason.OUT_OF_SERVICE),
+        (change(NEAR, reachable=False), PassReason.UNREACHABLE),
+        (change(NEAR, age_s=3, observed_ago_s=3), PassReason.TOO_OLD),
+        (change(NEAR, last=BEHIND), PassReason.BEHIND),
+        (change(NEAR, queued=routing.BUSY_QUEUED), PassReason.BUSY),
+        (NEAR._replace(returned_ago_s=0), PassReason.RAMPING),
+    ],
+)
+def test_passes_over_with_reason(near: Candidate, reason: PassReason) -> None:
+    """Guards against an unusable replica and a choice without evidence."""
+    choice = routing.choose(READ._replace(draw=0.5), (PRIMARY, near, FAR))
+    assert choice.endpoint == 'far'
+    assert choice.reason is RouteReason.OTHER_ZONE_REPLICA
+    assert PassedOver('near', reason) in choice.passed
+
+
+def test_waits_once_then_uses_primary() -> None:
+    """Guards against a stale read and against a wait without end."""
+    candidates = (PRIMARY, change(NEAR, last=BEHIND))
+    choice = routing.choose(READ, candidates)
+    assert choice.reason is RouteReason.WAIT_FOR_REPLICA
+    assert not choice.endpoint
+    waited = READ._replace(waited_s=choice.wait_s)
+    choice = routing.choose(waited, candidates)
+    assert choice.endpoint == 'p'
+    assert choice.reason is RouteReason.PRIMARY_AS_FALLBACK
+
+
+def test_unknown_position_skips_wait() -> None:
+    """Guards against a wait that no replica of the term can end."""
+    required = Position(TERM, sessions.UNKNOWN_POSITION)
+    choice = routing.choose(
+        READ._replace(required=required),
+        (PRIMARY, NEAR),
+    )
+    assert choice.endpoint == 'p'
+
+
+@pytest.mark.parametrize('max_age_s', [0, 2])
+def test_old_primary_is_confirmed(max_age_s: float) -> None:
+    """Guards against a read on a partitioned primary without confirmation."""
+    choice = routing.choose(
+        READ._replace(max_age_s=max_age_s),
+        (change(PRIMARY, age_s=3), change(NEAR, age_s=9)),
+    )
+    assert choice.endpoint == 'p'
+    assert choice.confirm
+
+
+def test_superseded_primary_gets_no_write() -> None:
+    """Guards against writes to a paused primary of an earlier term."""
+    newer = change(FAR, primary=True, last=Position(TERM + 1, 11))
+    choice = routing.choose(WRITE, (PRIMARY, newer))
+    assert choice.endpoint == 'far'
+    assert PassedOver('p', PassReason.SUPERSEDED) in choice.passed
+    ahead = WRITE._replace(required=Position(TERM + 2, 1))
+    assert not routing.choose(ahead, (PRIMARY, newer)).endpoint
+
+
+def test_drained_primary_gets_no_write() -> None:
+    """Guards against new work in a zone that is out of service (R8)."""
+    choice = routing.choose(WRITE, (PRIMARY._replace(in_service=False), NEAR))
+    assert choice.reason is RouteReason.NO_ENDPOINT
+    assert PassedOver('p', PassReason.OUT_OF_SERVICE) in choice.passed
+
+
+def test_answer_is_checked() -> None:
+    """Guards against an answer that is older than the view promised."""
+    last = READ.required
+    assert routing.accepts(READ, last, 5, primary=False)
+    assert not routing.accepts(READ, BEHIND, 1, primary=False)
+    assert not routing.accepts(READ, last, 6, primary=True)
+
+
+@pytest.mark.parametrize(
+    ('returned_ago_s', 'weight'),
+    [(0, 0.1), (15, 0.55), (30, 1), (300, 1)],
+)
+def test_ramp(returned_ago_s: float, weight: float) -> None:
+    """Guards against full load on a cold endpoint after its return."""
+    assert routing.compute_ramp(returned_ago_s) == pytest.approx(weight)
+
+
+def test_lost_host_moves_only_its_endpoints() -> None:
+    """Guards against a reshuffle of all owners when one host fails."""
+    hosts = [f'host-{number}' for number in range(8)]
+    endpoints = [f'endpoint-{number}' for number in range(400)]
+    owners = {name: routing.find_owner(name, hosts) for name in endpoints}
+    for name, owner in owners.items():
+        after = routing.find_owner(name, hosts[:-1])
+        assert after == owner or owner == hosts[-1]
+    counts = collections.Counter(owners.values())
+    assert min(counts.values()) > 25
+    assert not routing.find_owner('endpoint', [])
