Add the decisions of a database member

The daemon is tested against a member that stands in for the database groups of the platform. It keeps a log of (term, position) entries, grants a term to one candidate, refuses lower terms, and replicates with truncation of a diverging tail. Replicate carries a round number and the primary's age: a replica dates its freshness back to its own last answer that the primary had, so a late message never makes it look younger.

tasks gains ToEndpoint; a mesh without send_to_endpoint raises on it.

--- a/poplarspoke/schema/members.capnp
+++ b/poplarspoke/schema/members.capnp
@@ -24,6 +24,7 @@
   requestId @0 :Text;
   workspace @1 :Text;
   term @2 :UInt64;
+  record @3 :Bool;  # Store the request id and the answer with the commit.
 }
 
 struct MemberAnswer {
@@ -105,11 +106,92 @@
   previous @2 :Common.Position;
   entries @3 :List(LogEntry);
   end @4 :Common.Position;  # End of the primary's log.
+  round @5 :UInt64;  # Number of the message; the answer repeats it.
+  answeredRound @6 :UInt64;  # Last round whose answer the primary has.
+  ageS @7 :Float64;  # Age of the primary when it sent the message.
 }
 
 struct Replicated {
   # Answer to Replicate.
   accepted @0 :Bool;
   adoptedTerm @1 :UInt64;
-  last @2 :Common.Position;
+  last @2 :Common.Position;  # Held entry, or where to look for a common one.
+  round @3 :UInt64;
+}
+
+struct FetchStatus {
+  # Asks a member for its MemberStatus; GET /status.
+  reserved @0 :Bool;  # Unused.
+}
+
+struct BeginTransaction {
+  # Begins the transaction of a connection.
+  control @0 :TransactionControl;
+}
+
+struct CommitTransaction {
+  # Commits the transaction of a connection.
+  control @0 :TransactionControl;
+}
+
+struct RollbackTransaction {
+  # Rolls the transaction of a connection back.
+  control @0 :TransactionControl;
+}
+
+struct MemberCall {
+  # A request to a member inside its process.
+  requestId @0 :Text;  # Unique for each call.
+  connection @1 :Text;  # Names the connection that it came on.
+  queued @2 :UInt32;  # Statements that wait for a slot.
+  union {
+    fetchStatus @3 :FetchStatus;
+    execute @4 :Execute;
+    beginTransaction @5 :BeginTransaction;
+    commitTransaction @6 :CommitTransaction;
+    rollbackTransaction @7 :RollbackTransaction;
+    confirm @8 :Confirm;
+    adopt @9 :Adopt;
+    promote @10 :Promote;
+    follow @11 :Follow;
+    replicate @12 :Replicate;
+  }
+}
+
+struct ConnectionClosed {
+  # A connection to a member has closed; its transaction ends.
+  connection @0 :Text;
+}
+
+struct ReplicateAnswered {
+  # What became of a Replicate message.
+  member @0 :Text;
+  lost @1 :Bool;  # No answer came.
+  answer @2 :Replicated;
+}
+
+struct MemberFaults {
+  # Faults of a member stand-in, all at once; POST /faults.
+  down @0 :Bool;  # Closes every connection without an answer.
+  frozen @1 :Bool;  # Requests wait until the member is no longer frozen.
+  silent @2 :Bool;  # Connections that are open now never answer again.
+  slowS @3 :Float64;  # Added time of each statement in its slot.
+  lostAnswers @4 :UInt32;  # Answers to lose after their effect.
+  lostPath @5 :Text;  # Path of the lost answers, empty for any.
+  cutOff @6 :List(Text);  # Members without replication in either direction.
+  farBehind @7 :Bool;  # Takes no log entries.
+  lagS @8 :Float64;  # Delay of the replication that this member sends.
+}
+
+struct SeenRequest {
+  # A request that a stand-in has received; GET /seen.
+  method @0 :Text;
+  path @1 :Text;
+  headers @2 :List(Text);  # As "name: value".
+  body @3 :Text;
+}
+
+struct SeenRequests {
+  # The latest requests that a stand-in has received.
+  requests @0 :List(SeenRequest);
 }
--- /dev/null
+++ b/poplarspoke/standins/database.py
@@ -0,0 +1,133 @@
+"""Log of a member and what follows from it: values and recorded answers."""
+
+import json
+from typing import NamedTuple, TypedDict
+
+from poplarspoke import invariants
+from poplarspoke.generated.common import Position
+from poplarspoke.generated.members import LogEntry
+
+MAX_BATCH_ENTRIES = 64
+# Keeps a Replicate message well under the body limit of web.py.
+MAX_BATCH_CHARACTERS = 65536
+
+
+class RecordKey(NamedTuple):
+    """Key of a recorded answer; workspaces choose their ids independently."""
+
+    workspace: str
+    request_id: str
+
+
+class Database(TypedDict):
+    """Log and the tables that are derived from it.
+
+    Attributes:
+        log: Entries; the entry with position n has index n - 1.
+        tables: Values of each workspace by their key.
+        recorded: Position in the log of each recorded request.
+    """
+
+    log: list[LogEntry]
+    tables: dict[str, dict[str, str]]
+    recorded: dict[RecordKey, int]
+
+
+def create_database() -> Database:
+    """Returns an empty database."""
+    return Database(log=[], tables={}, recorded={})
+
+
+def find_last(database: Database) -> Position:
+    """Returns the position of the last entry, zero if there is none."""
+    return find_position(database, len(database['log']))
+
+
+def find_position(database: Database, index: int) -> Position:
+    """Returns the term and position of the entry with this position."""
+    if not 0 < index <= len(database['log']):
+        return Position()
+    return database['log'][index - 1].position
+
+
+def holds(database: Database, position: Position) -> bool:
+    """Returns whether the log has this entry; the log's start is held."""
+    return find_position(database, position.position) == position
+
+
+def find_recorded(
+    database: Database,
+    workspace: str,
+    request_id: str,
+) -> LogEntry | None:
+    """Returns the entry that recorded a request."""
+    position = database['recorded'].get(RecordKey(workspace, request_id))
+    return None if position is None else database['log'][position - 1]
+
+
+def append(database: Database, entry: LogEntry) -> None:
+    """Appends an entry and applies its effect.
+
+    Raises:
+        invariants.InvariantError: The entry leaves a gap or its request was
+            applied before.
+    """
+    last = find_last(database)
+    invariants.check(
+        holds=entry.position.position == last.position + 1
+        and entry.position.term >= last.term,
+        code='R2',
+        detail=f'entry {entry.position} does not follow {last}',
+    )
+    database['log'].append(entry)
+    table = database['tables'].setdefault(entry.workspace, {})
+    table.update(json.loads(entry.effect or '{}'))
+    if not entry.request_id:
+        return
+    record_key = RecordKey(entry.workspace, entry.request_id)
+    invariants.check(
+        holds=record_key not in database['recorded'],
+        code='R11',
+        detail=f'request {entry.request_id} applied twice',
+    )
+    database['recorded'][record_key] = entry.position.position
+
+
+def truncate(database: Database, length: int) -> None:
+    """Removes the entries after a position and derives the tables again."""
+    kept = database['log'][:length]
+    database['log'] = []
+    database['tables'] = {}
+    database['recorded'] = {}
+    for entry in kept:
+        append(database, entry)
+
+
+def find_batch(database: Database, after: int) -> tuple[LogEntry, ...]:
+    """Returns the next entries after a position, bounded in size."""
+    batch: list[LogEntry] = []
+    size = 0
+    for entry in database['log'][after : after + MAX_BATCH_ENTRIES]:
+        size += len(entry.effect) + len(entry.answer)
+        if batch and size > MAX_BATCH_CHARACTERS:
+            break
+        batch.append(entry)
+    return tuple(batch)
+
+
+def merge(database: Database, entries: tuple[LogEntry, ...]) -> None:
+    """Adds entries of the primary and removes a tail that diverges."""
+    for entry in entries:
+        if holds(database, entry.position):
+            continue
+        if entry.position.position <= len(database['log']):
+            truncate(database, entry.position.position - 1)
+        append(database, entry)
+
+
+def find_common(database: Database, hint: Position) -> int:
+    """Returns where a replica's log may agree, from its hint."""
+    index = min(hint.position, len(database['log']))
+    while index and database['log'][index - 1].position.term > hint.term:
+        index -= 1
+    return index
--- /dev/null
+++ b/poplarspoke/standins/execution.py
@@ -0,0 +1,257 @@
+"""Statements and transactions of a database member.
+
+A transaction buffers its effects and appends one log entry at its commit. The
+commit is refused if a value that the transaction read has changed since.
+"""
+
+import json
+from collections import ChainMap
+
+from poplarspoke import codec, errors, invariants
+from poplarspoke.generated.common import ErrorCode, Refusal
+from poplarspoke.generated.members import (
+    Execute,
+    LogEntry,
+    MemberAnswer,
+    TransactionControl,
+)
+from poplarspoke.standins import database, statements
+from poplarspoke.standins.member_state import (
+    MemberState,
+    Transaction,
+    append_entry,
+    leads,
+)
+
+NO_EFFECT = '{}'
+
+
+def execute(
+    body: Execute,
+    connection: str,
+    state: MemberState,
+) -> MemberAnswer:
+    """Executes one statement, inside the connection's transaction if any."""
+    try:
+        return _execute(body, connection, state)
+    except errors.PoplarspokeError as exc:
+        return _refuse(body.request_id, exc)
+
+
+def begin(
+    control: TransactionControl,
+    connection: str,
+    state: MemberState,
+) -> MemberAnswer:
+    """Begins the transaction of a connection."""
+    if not leads(state, control.term):
+        exc = errors.RefusedError(_refuse_term(state, control.term))
+        return _refuse(control.request_id, exc)
+    if connection in state['transactions']:
+        refusal = errors.refuse(
+            ErrorCode.BAD_REQUEST,
+            'the connection has a transaction already',
+        )
+        return _refuse(control.request_id, errors.RefusedError(refusal))
+    state['transactions'][connection] = Transaction(
+        workspace=control.workspace,
+        seen={},
+        changed={},
+        ended=False,
+    )
+    return MemberAnswer(request_id=control.request_id)
+
+
+def commit(
+    control: TransactionControl,
+    connection: str,
+    state: MemberState,
+) -> MemberAnswer:
+    """Commits the transaction of a connection as one log entry."""
+    try:
+        return _commit(control, connection, state)
+    except errors.PoplarspokeError as exc:
+        return _refuse(control.request_id, exc)
+
+
+def roll_back(
+    control: TransactionControl,
+    connection: str,
+    state: MemberState,
+) -> MemberAnswer:
+    """Ends the transaction of a connection without an effect."""
+    state['transactions'].pop(connection, None)
+    return MemberAnswer(request_id=control.request_id)
+
+
+def _execute(
+    body: Execute,
+    connection: str,
+    state: MemberState,
+) -> MemberAnswer:
+    if (body.write or body.term) and not leads(state, body.term):
+        raise errors.RefusedError(_refuse_term(state, body.term))
+    transaction = state['transactions'].get(connection)
+    if transaction is not None:
+        return _execute_inside(body, transaction, state)
+    recorded = None
+    if body.record:
+        recorded = _find_answer(body.workspace, body.request_id, state)
+    return recorded or _execute_alone(body, state)
+
+
+def _execute_alone(body: Execute, state: MemberState) -> MemberAnswer:
+    table = state['database']['tables'].get(body.workspace, {})
+    evaluation = statements.evaluate(body.text, body.parameters, table)
+    _check_effect(body, evaluation)
+    rows = _write_rows(evaluation)
+    if body.write:
+        entry = LogEntry(
+            workspace=body.workspace,
+            effect=json.dumps(dict(evaluation.effect)),
+            answer=rows,
+        )
+        _append_change(state, entry, body.request_id, record=body.record)
+    return MemberAnswer(request_id=body.request_id, rows=rows)
+
+
+def _execute_inside(
+    body: Execute,
+    transaction: Transaction,
+    state: MemberState,
+) -> MemberAnswer:
+    _check_transaction(transaction, body.workspace)
+    table = state['database']['tables'].get(body.workspace, {})
+    evaluation = statements.evaluate(
+        body.text,
+        body.parameters,
+        ChainMap(transaction['changed'], table),
+    )
+    _check_effect(body, evaluation)
+    for key in evaluation.reads:
+        if key not in transaction['changed']:
+            transaction['seen'].setdefault(key, table.get(key))
+    transaction['changed'].update(dict(evaluation.effect))
+    return MemberAnswer(
+        request_id=body.request_id,
+        rows=_write_rows(evaluation),
+    )
+
+
+def _commit(
+    control: TransactionControl,
+    connection: str,
+    state: MemberState,
+) -> MemberAnswer:
+    if not leads(state, control.term):
+        raise errors.RefusedError(_refuse_term(state, control.term))
+    transaction = state['transactions'].pop(connection, None)
+    recorded = None
+    if control.record:
+        recorded = _find_answer(control.workspace, control.request_id, state)
+    if recorded is not None:
+        return recorded
+    transaction = _check_transaction(transaction, control.workspace)
+    _check_seen(transaction, state)
+    entry = LogEntry(
+        workspace=control.workspace,
+        effect=json.dumps(transaction['changed']),
+        answer='[]',
+    )
+    _append_change(state, entry, control.request_id, record=control.record)
+    return MemberAnswer(request_id=control.request_id, rows='[]')
+
+
+def _append_change(
+    state: MemberState,
+    entry: LogEntry,
+    request_id: str,
+    *,
+    record: bool,
+) -> None:
+    """Appends an entry, with its request id and answer if recorded."""
+    if record:
+        append_entry(state, entry._replace(request_id=request_id))
+    elif entry.effect != NO_EFFECT:
+        append_entry(state, entry._replace(answer=''))
+
+
+def _check_effect(body: Execute, evaluation: statements.Evaluation) -> None:
+    if evaluation.effect and not body.write:
+        refusal = errors.refuse(
+            ErrorCode.BAD_REQUEST,
+            'the statement changes values but was sent as a read',
+        )
+        raise errors.RefusedError(refusal)
+
+
+def _check_transaction(
+    transaction: Transaction | None,
+    workspace: str,
+) -> Transaction:
+    if transaction is None or transaction['ended']:
+        refusal = errors.refuse(
+            ErrorCode.TRANSACTION_ENDED,
+            'the connection has no open transaction',
+        )
+        raise errors.RefusedError(refusal)
+    invariants.check(
+        holds=transaction['workspace'] == workspace,
+        code='R3',
+        detail='a statement reached the transaction of another workspace',
+    )
+    return transaction
+
+
+def _check_seen(transaction: Transaction, state: MemberState) -> None:
+    """Refuses a commit whose reads have been overwritten meanwhile."""
+    table = state['database']['tables'].get(transaction['workspace'], {})
+    for key, value in transaction['seen'].items():
+        if table.get(key) == value:
+            continue
+        refusal = errors.refuse(
+            ErrorCode.CONFLICT,
+            'another transaction has changed a value that this one read',
+        )
+        raise errors.RefusedError(refusal)
+
+
+def _find_answer(
+    workspace: str,
+    request_id: str,
+    state: MemberState,
+) -> MemberAnswer | None:
+    """Returns the recorded answer of a request.
+
+    It is answered with the end of the log, an entry of the current term: its
+    confirmation by a majority covers the recorded entry as well.
+    """
+    entry = database.find_recorded(state['database'], workspace, request_id)
+    if entry is None:
+        return None
+    return MemberAnswer(
+        request_id=request_id,
+        rows=entry.answer,
+        repeated=True,
+    )
+
+
+def _refuse(request_id: str, exc: Exception) -> MemberAnswer:
+    return MemberAnswer(
+        request_id=request_id,
+        refused=True,
+        refusal=errors.refuse_from(exc),
+    )
+
+
+def _refuse_term(state: MemberState, term: int) -> Refusal:
+    adopted = state['adopted_term']
+    return errors.refuse(
+        ErrorCode.NOT_PRIMARY,
+        f'{state["endpoint"]} is no primary of term {term}; '
+        f'it has adopted term {adopted}',
+    )
+
+
+def _write_rows(evaluation: statements.Evaluation) -> str:
+    return json.dumps(codec.to_object(evaluation.rows))
--- a/poplarspoke/tasks.py
+++ b/poplarspoke/tasks.py
@@ -38,6 +38,13 @@
     message: Any
 
 
+class ToEndpoint(NamedTuple):
+    """Outgoing call of a database member; its answer comes as a message."""
+
+    endpoint: str
+    message: Any
+
+
 class Reply(NamedTuple):
     """Answer to the request with this id, from a task of this daemon."""
 
@@ -45,10 +52,11 @@
     message: Any
 
 
-Outgoing: TypeAlias = ToHost | ToStore | ToTask | Reply
+Outgoing: TypeAlias = ToHost | ToStore | ToTask | ToEndpoint | Reply
 Decide: TypeAlias = Callable[[Any, Any, float], list[Outgoing]]
 SendToHost: TypeAlias = Callable[[str, Any], None]
 SendToStore: TypeAlias = Callable[[str, Any], None]
+SendToEndpoint: TypeAlias = Callable[[str, str, Any], None]
 
 
 class Envelope(NamedTuple):
@@ -173,6 +181,18 @@
             self._answers[envelope.message.request_id] = envelope.answer
 
 
+def refuse_endpoint(task: str, endpoint: str, message: Any) -> None:
+    """Raises, since the daemon was given no way to call endpoints.
+
+    Raises:
+        TypeError: Always.
+    """
+    raise TypeError(
+        f'task {task} called endpoint {endpoint}; '
+        'create its mesh with send_to_endpoint',
+    )
+
+
 class Mesh:
     """The tasks of one daemon and the ways out of it."""
 
@@ -182,11 +202,13 @@
         send_to_host: SendToHost,
         send_to_store: SendToStore,
         now_s: Callable[[], float],
+        send_to_endpoint: SendToEndpoint = refuse_endpoint,
     ) -> None:
-        """Keeps where messages for peers and for the platform go."""
+        """Keeps where messages for peers, platform and endpoints go."""
         self.tasks: dict[str, Task] = {}
         self.send_to_host = send_to_host
         self.send_to_store = send_to_store
+        self.send_to_endpoint = send_to_endpoint
         self._now_s = now_s
 
     def start(self, task: Task, group: TaskGroup) -> None:
@@ -225,6 +247,11 @@
     mesh.post(outgoing.task, outgoing.message)
 
 
+@deliver_one.register
+def _(outgoing: ToEndpoint, mesh: Mesh, task: Task) -> None:
+    mesh.send_to_endpoint(task.name, outgoing.endpoint, outgoing.message)
+
+
 @deliver_one.register
 def _(outgoing: Reply, mesh: Mesh, task: Task) -> None:
     task.answer(outgoing)
