Add the platform stand-in with its faults

The daemons need a table with compare-and-set, an object store and a lagging host list to be tested against.

--- a/poplarspoke/schema/platform.capnp
+++ b/poplarspoke/schema/platform.capnp
@@ -62,3 +62,33 @@
   name @0 :Text;
   content @1 :Text;
 }
+
+struct FetchObject {
+  # Asks for an object; GET /objects/NAME.
+  name @0 :Text;
+}
+
+struct FetchHosts {
+  # Asks for the list of hosts; GET /hosts.
+  reserved @0 :Bool;  # Unused.
+}
+
+struct FetchCounts {
+  # Asks for the counters of the stand-in; GET /counts.
+  reserved @0 :Bool;  # Unused.
+}
+
+struct PlatformCounts {
+  # Requests that the platform stand-in has run.
+  reads @0 :UInt64;
+  writes @1 :UInt64;
+}
+
+struct PlatformFaults {
+  # Faults of the platform stand-in; POST /faults replaces all of them.
+  down @0 :Bool;  # Connections are closed without an answer or effect.
+  slowS @1 :Float64;  # Seconds that each request waits before it runs.
+  lostAnswers @2 :UInt32;  # Next writes that take effect without an answer.
+  silence @3 :Bool;  # Connections open now never answer again.
+  hostsLagS @4 :Float64;  # Age in seconds of the host list that is answered.
+}
