--- a/poplarspoke/standins/platform.py
+++ b/poplarspoke/standins/platform.py
@@ -184,8 +184,9 @@
 def _read_message(request: web.Request) -> Any:
     """Returns the message of a request, None if the path is unknown."""
     route = Route(request.method, request.path)
-    if route in BODY_TYPES:
-        return web.read_json(BODY_TYPES[route], request.body)
+    body_type = BODY_TYPES.get(route)
+    if body_type is not None:
+        return web.read_json(body_type, request.body)
     if request.path.startswith(OBJECTS_PATH):
         name = unquote(request.path.removeprefix(OBJECTS_PATH))
         if request.method == 'GET':
@@ -193,7 +194,7 @@
         if request.method == 'PUT':
             stored = web.read_json(StoredObject, request.body)
             return stored._replace(name=name)
-    return QUERIES.get(route, None)
+    return QUERIES.get(route)
 
 
 def _refuse(refusal: Any) -> web.Response:
