Add the messages of settings, their freshness and doubts

A host needs to know since when each change is known to it, so heartbeats carry a sequence number with an echo, which bounds how old a received statement is, and changes whose commit got no answer.

--- a/poplarspoke/changes.py
+++ b/poplarspoke/changes.py
@@ -16,7 +16,7 @@
 from poplarspoke.codec import SCHEMA_DIR
 from poplarspoke.generated.common import ErrorCode
 from poplarspoke.generated.configuration import ChangeSettings
-from poplarspoke.generated.settings import Document, Team
+from poplarspoke.generated.settings import Database, Document, Team
 
 # A snapshot travels in one frame of at most 1 MiB.
 MAX_DOCUMENT_CHARACTERS = 786432
@@ -311,14 +311,18 @@
     for host_name, host in document.get('hosts', {}).items():
         _check_reference(('hosts', host_name, 'zone'), host['zone'], zones)
     for name, database in document.get('databases', {}).items():
-        base = ('databases', name, 'endpoints')
-        for endpoint_name, endpoint in database['endpoints'].items():
-            path = (*base, endpoint_name, 'zone')
-            _check_reference(path, endpoint['zone'], zones)
+        _check_endpoints(name, database, zones)
     for team_name, team in document['teams'].items():
         _check_routes(team_name, team, document.get('databases', {}))
 
 
+def _check_endpoints(name: str, database: Database, zones: Any) -> None:
+    base = ('databases', name, 'endpoints')
+    for endpoint_name, endpoint in database['endpoints'].items():
+        path = (*base, endpoint_name, 'zone')
+        _check_reference(path, endpoint['zone'], zones)
+
+
 def _check_routes(team_name: str, team: Team, databases: Any) -> None:
     for name, workspace in team.get('workspaces', {}).items():
         base = (TEAMS, team_name, 'workspaces', name, 'routes')
--- a/poplarspoke/schema/membership.capnp
+++ b/poplarspoke/schema/membership.capnp
@@ -1,6 +1,7 @@
 @0xb1d0a3f0c0de0008;
 
 using Common = import "common.capnp";
+using Configuration = import "configuration.capnp";
 
 struct EndpointView {
   # What a host knows about an endpoint.
@@ -19,6 +20,9 @@
   host @0 :Text;
   incarnation @1 :UInt64;
   heardAgoS @2 :Float64;
+  dead @3 :Bool;
+  settingsVersion @4 :UInt64;
+  zone @5 :Text;
 }
 
 struct Heartbeat {
@@ -32,4 +36,10 @@
   leaving @6 :Bool;
   endpoints @7 :List(EndpointView);
   hosts @8 :List(HostView);
+  sequence @9 :UInt64;  # Number of this heartbeat of the sender.
+  echoSequence @10 :UInt64;  # Last heartbeat heard from the receiver, 0 if none.
+  echoAgoS @11 :Float64;  # Seconds since it was heard.
+  confirmed @12 :Bool;  # The settings were ever known current.
+  storeFailedAgoS @13 :Float64;  # Since the last failed attempt began.
+  doubts @14 :List(Configuration.Doubt);
 }
--- a/poplarspoke/schema/platform.capnp
+++ b/poplarspoke/schema/platform.capnp
@@ -92,3 +92,9 @@
   silence @3 :Bool;  # Connections open now never answer again.
   hostsLagS @4 :Float64;  # Age in seconds of the host list that is answered.
 }
+
+struct StoreLost {
+  # No answer of the platform came; tells the task whose request it was.
+  detail @0 :Text;
+  notSent @1 :Bool;  # The request provably had no effect.
+}
