--- a/poplarspoke/store.py
+++ b/poplarspoke/store.py
@@ -14,11 +14,12 @@
 from poplarspoke.generated.platform import (
     Commit,
     CommitResult,
+    FetchHosts,
     HostEntry,
     HostList,
     ReadRows,
     RowsRead,
-    StoreFailed,
+    StoreLost,
 )
 
 TIMEOUT_S = 1.0
@@ -114,6 +115,17 @@
     return await store.read(message)
 
 
+@call_store.register
+async def _(message: FetchHosts, store: Store) -> Any:
+    return await store.list_hosts()
+
+
+@call_store.register
+async def _(message: HostEntry, store: Store) -> Any:
+    await store.announce(message)
+    return message
+
+
 class StoreTask:
     """Carries the store requests of one task, in order, on its own connection.
 
@@ -140,11 +152,13 @@
         await self._store.__aexit__(None, None, None)
 
     def post(self, message: Any) -> None:
-        """Queues a request; a full queue answers with ``StoreFailed``."""
+        """Queues a request; a full queue answers with ``StoreLost``."""
         try:
             self._inbox.send_nowait(message)
         except anyio.WouldBlock:
-            self._on_answer(self._task, StoreFailed('the queue is full'))
+            self._on_answer(
+                self._task, StoreLost('the queue is full', not_sent=True)
+            )
 
     async def run(self) -> None:
         """Carries requests until it is cancelled."""
@@ -153,5 +167,5 @@
             try:
                 answer = await call_store(message, self._store)
             except errors.StoreError as exc:
-                answer = StoreFailed(str(exc))
+                answer = StoreLost(str(exc))
             self._on_answer(self._task, answer)
