Decide on settings versions and on keys

Settings: one transaction in the table accepts a change; its conditions are the version it is based on and that its change id is new, so a repeat and a lost answer are told apart from a lost race. A host keeps the time before which every accepted change is in force, from the store, a confirmed peer or, with the store down, the other zones.

--- /dev/null
+++ b/poplarspoke/records.py
@@ -0,0 +1,163 @@
+"""Rows of the platform's table that hold the settings.
+
+The row ``settings`` holds the record of the last change and is small, since
+every host reads it all the time. The document is in a row of its own, written
+in the same transaction, so both rows have the same version.
+"""
+
+import base64
+import binascii
+import hashlib
+import json
+import zlib
+
+from poplarspoke import codec
+from poplarspoke.changes import MAX_DOCUMENT_CHARACTERS
+from poplarspoke.generated.configuration import (
+    ChangeRecord,
+    ChangeSettings,
+    SettingsSnapshot,
+)
+from poplarspoke.generated.platform import (
+    Commit,
+    Row,
+    RowCondition,
+    RowWrite,
+)
+
+HEAD_KEY = 'settings'
+DOCUMENT_KEY = 'settings/document'
+# History is for reading; a longer value is in the document only.
+MAX_RECORDED_CHARACTERS = 4096
+
+
+def name_change_row(change_id: str) -> str:
+    """Returns the key of the row that makes a change id unique."""
+    digest = hashlib.sha256(change_id.encode()).hexdigest()
+    return f'settings/changes/{digest}'
+
+
+def name_history_row(version: int) -> str:
+    """Returns the key of the row with the change that made a version."""
+    return f'settings/history/{version}'
+
+
+def digest_change(change: ChangeSettings) -> str:
+    """Returns the SHA-256 of what a change does, in hex."""
+    parts = json.dumps([change.team, change.path, change.content])
+    return hashlib.sha256(parts.encode()).hexdigest()
+
+
+def create_record(
+    change: ChangeSettings,
+    *,
+    version: int,
+    accepted_at_s: float,
+) -> ChangeRecord:
+    """Returns the record of a change as it is kept.
+
+    Args:
+        change: The change.
+        version: Version that the change makes.
+        accepted_at_s: Clock of the table when the change was based.
+    """
+    is_short = len(change.content) <= MAX_RECORDED_CHARACTERS
+    return ChangeRecord(
+        version=version,
+        change_id=change.change_id,
+        team=change.team,
+        path=change.path,
+        content=change.content if is_short else '',
+        digest=digest_change(change),
+        who=change.who,
+        why=change.why,
+        accepted_at_s=accepted_at_s,
+    )
+
+
+def create_commit(record: ChangeRecord, document: str) -> Commit:
+    """Returns the transaction that accepts a change.
+
+    It fails if another change was accepted since, or if this one was.
+
+    Args:
+        record: Record of the change.
+        document: JSON of the changed document.
+    """
+    base_version = record.version - 1
+    change_row = name_change_row(record.change_id)
+    content = json.dumps(codec.to_object(record))
+    return Commit(
+        conditions=(
+            RowCondition(HEAD_KEY, base_version),
+            RowCondition(change_row, 0),
+        ),
+        writes=(
+            RowWrite(HEAD_KEY, content),
+            RowWrite(DOCUMENT_KEY, _compress(document)),
+            RowWrite(change_row, content),
+            RowWrite(name_history_row(record.version), content),
+        ),
+    )
+
+
+def read_record(row: Row) -> ChangeRecord:
+    """Returns the record that a row holds; version 0 if the row is absent.
+
+    Raises:
+        codec.FormatError: The row is no such record.
+    """
+    if not row.version:
+        return ChangeRecord()
+    try:
+        source = json.loads(row.content)
+    except (ValueError, RecursionError) as exc:
+        raise codec.FormatError(f'row {row.key} is no JSON') from exc
+    return codec.parse(ChangeRecord, source)
+
+
+def create_snapshot(record: ChangeRecord, document: str) -> SettingsSnapshot:
+    """Returns the version that a change made."""
+    return SettingsSnapshot(
+        version=record.version,
+        document=document,
+        accepted_at_s=record.accepted_at_s,
+        who=record.who,
+        why=record.why,
+        path=record.path,
+        change_id=record.change_id,
+    )
+
+
+def read_snapshot(head: Row, document: Row) -> SettingsSnapshot:
+    """Returns the version that the two rows of one read hold.
+
+    Raises:
+        codec.FormatError: The rows do not belong together or are unreadable.
+    """
+    record = read_record(head)
+    if head.version != document.version or record.version != head.version:
+        raise codec.FormatError(
+            f'row {HEAD_KEY} is at version {head.version}, '
+            f'{DOCUMENT_KEY} at {document.version}',
+        )
+    if not head.version:
+        return SettingsSnapshot()
+    return create_snapshot(record, _decompress(document))
+
+
+def _compress(document: str) -> str:
+    # At 1900 endpoints the JSON inside of JSON would pass the body limit.
+    return base64.b64encode(zlib.compress(document.encode())).decode()
+
+
+def _decompress(row: Row) -> str:
+    decompressor = zlib.decompressobj()
+    try:
+        packed = base64.b64decode(row.content, validate=True)
+        text = decompressor.decompress(packed, MAX_DOCUMENT_CHARACTERS).decode()
+    except (binascii.Error, zlib.error, UnicodeDecodeError) as exc:
+        raise codec.FormatError(f'row {row.key} is damaged') from exc
+    if not decompressor.eof:
+        raise codec.FormatError(f'row {row.key} is too large or cut off')
+    return text
--- a/poplarspoke/schema/configuration.capnp
+++ b/poplarspoke/schema/configuration.capnp
@@ -111,3 +111,8 @@
   changes @0 :List(ChangeRecord);
   oldestVersion @1 :UInt64;  # Older versions were not looked at.
 }
+
+struct ResendSettings {
+  # Asks for the settings in force again after a message was dropped.
+  task @0 :Text;
+}
--- a/poplarspoke/schema/membership.capnp
+++ b/poplarspoke/schema/membership.capnp
@@ -43,3 +43,41 @@
   storeFailedAgoS @13 :Float64;  # Since the last failed attempt began.
   doubts @14 :List(Configuration.Doubt);
 }
+
+struct EndpointViews {
+  # Views of this host's own endpoints, from the tasks that own them.
+  views @0 :List(EndpointView);
+}
+
+struct HostStatus {
+  # State of a host as another one sees it.
+  host @0 :Text;
+  zone @1 :Text;
+  address @2 :Text;  # IP:port of the peer listener.
+  live @3 :Bool;
+  suspect @4 :Bool;
+  leaving @5 :Bool;
+  settingsVersion @6 :UInt64;
+  heardAgoS @7 :Float64;
+}
+
+struct HostsChanged {
+  # Tells a task of this daemon which hosts there are.
+  hosts @0 :List(HostStatus);
+}
+
+struct ShowHosts {
+  # Asks for the state of every host.
+  requestId @0 :Text;
+}
+
+struct HostsShown {
+  # Answer to ShowHosts.
+  hosts @0 :List(HostStatus);
+  reachableZones @1 :List(Text);
+}
+
+struct LeaveFleet {
+  # Tells membership that this host shuts down.
+  reserved @0 :Bool;  # Unused.
+}
--- /dev/null
+++ b/poplarspoke/versions.py
@@ -0,0 +1,228 @@
+"""State of the settings of one host, and how a version comes into force."""
+
+import json
+from typing import Any, NamedTuple, TypeAlias, TypedDict
+
+from poplarspoke import changes, confirmation, records
+from poplarspoke.generated.configuration import (
+    ChangeRecord,
+    ChangeSettings,
+    Doubt,
+    PeerState,
+    SettingsSnapshot,
+    ShowHistory,
+)
+from poplarspoke.generated.platform import Row
+from poplarspoke.generated.settings import Document
+
+
+class HeadRead(NamedTuple):
+    """Read of the head row."""
+
+
+class DocumentRead(NamedTuple):
+    """Read of the head row and the document."""
+
+
+class HistoryRead(NamedTuple):
+    """Read of history rows for an operator."""
+
+    request: ShowHistory
+    newest: int
+    oldest: int
+
+
+class ChangeRead(NamedTuple):
+    """Read of what a change is based on.
+
+    Attributes:
+        change: The change.
+        asked_at_s: When the operator asked.
+        sent: Whether a commit of it may have taken effect.
+        answered: Whether the operator was told that the outcome is unknown.
+        based_on: Version under a commit that was sent.
+    """
+
+    change: ChangeSettings
+    asked_at_s: float
+    sent: bool = False
+    answered: bool = False
+    based_on: int = 0
+
+
+class ChangeCommit(NamedTuple):
+    """Commit of a change.
+
+    Attributes:
+        read: The read before it.
+        record: What the table will hold about the change.
+        document: JSON of the changed document.
+        keys: Ids of the keys that the change withdraws.
+    """
+
+    read: ChangeRead
+    record: ChangeRecord
+    document: str
+    keys: tuple[str, ...]
+
+
+Step: TypeAlias = (
+    HeadRead | DocumentRead | HistoryRead | ChangeRead | ChangeCommit
+)
+
+
+class ConfigurationState(TypedDict):
+    """State of the settings of one host.
+
+    Attributes:
+        host: Name of this host.
+        zone: Zone of this host.
+        subscribers: Tasks that learn of versions and of their freshness.
+        snapshot: Version in force.
+        document: Its document.
+        in_force_since_s: When it came into force.
+        confirmed: Latest confirmation.
+        peers: Last statement of each peer.
+        store_reachable: Whether the last request to the store was answered.
+        store_failed_at_s: When the last failed attempt began.
+        store_version: Highest version seen in the store.
+        step: Request to the store that is under way.
+        step_sent_at_s: When it was sent.
+        waiting: Requests to the store that come next.
+        unresolved: Changes whose outcome is unknown, to be read again.
+        retried_at_s: When they were last queued.
+        head_read_at_s: When the head row was last asked for.
+        fetched_at_s: When a peer was last asked for its settings.
+        doubts: Changes of any host whose outcome is unknown, by change id.
+        unreadable_rows: Number of answers of the store that made no sense.
+    """
+
+    host: str
+    zone: str
+    subscribers: tuple[str, ...]
+    snapshot: SettingsSnapshot
+    document: Document
+    in_force_since_s: float
+    confirmed: confirmation.Confirmation
+    peers: dict[str, PeerState]
+    store_reachable: bool
+    store_failed_at_s: float
+    store_version: int
+    step: Step | None
+    step_sent_at_s: float
+    waiting: list[Step]
+    unresolved: list[ChangeRead]
+    retried_at_s: float
+    head_read_at_s: float
+    fetched_at_s: float
+    doubts: dict[str, Doubt]
+    unreadable_rows: int
+
+
+def create_state(
+    *,
+    host: str,
+    zone: str,
+    subscribers: tuple[str, ...],
+    now_s: float,
+) -> ConfigurationState:
+    """Returns the state of a host that knows no settings yet.
+
+    Args:
+        host: Name of this host.
+        zone: Zone of this host.
+        subscribers: Tasks that learn of versions and of their freshness.
+        now_s: Monotonic clock in seconds.
+    """
+    return ConfigurationState(
+        host=host,
+        zone=zone,
+        subscribers=subscribers,
+        snapshot=SettingsSnapshot(),
+        document=changes.create_document(),
+        in_force_since_s=now_s,
+        confirmed=confirmation.NO_EVIDENCE,
+        peers={},
+        store_reachable=False,
+        store_failed_at_s=confirmation.NEVER_S,
+        store_version=0,
+        step=None,
+        step_sent_at_s=confirmation.NEVER_S,
+        waiting=[],
+        unresolved=[],
+        retried_at_s=confirmation.NEVER_S,
+        head_read_at_s=confirmation.NEVER_S,
+        fetched_at_s=confirmation.NEVER_S,
+        doubts={},
+        unreadable_rows=0,
+    )
+
+
+class StoreAnswer(NamedTuple):
+    """Answer of the store with its rows by key."""
+
+    message: Any
+    rows: dict[str, Row]
+    now_s: float
+
+
+def adopt(
+    state: ConfigurationState,
+    snapshot: SettingsSnapshot,
+    now_s: float,
+) -> None:
+    """Puts a version in force if it is newer than the one in force."""
+    if snapshot.version <= state['snapshot'].version:
+        return
+    try:
+        document: Document = json.loads(snapshot.document)
+    except (ValueError, RecursionError):
+        state['unreadable_rows'] += 1
+        return
+    state['snapshot'] = snapshot._replace(sender='')
+    state['document'] = document
+    state['in_force_since_s'] = now_s
+    for change_id, doubt in list(state['doubts'].items()):
+        if doubt.version <= snapshot.version:
+            state['doubts'].pop(change_id)
+
+
+def adopt_rows(state: ConfigurationState, answer: StoreAnswer) -> None:
+    """Puts the version of a read of head and document in force.
+
+    Raises:
+        codec.FormatError: The rows are damaged.
+    """
+    snapshot = records.read_snapshot(
+        answer.rows[records.HEAD_KEY],
+        answer.rows[records.DOCUMENT_KEY],
+    )
+    adopt(state, snapshot, answer.now_s)
+    note_head(state, answer)
+
+
+def note_head(state: ConfigurationState, answer: StoreAnswer) -> None:
+    """Keeps the version of the head row; the read confirms what is in force."""
+    version = answer.rows[records.HEAD_KEY].version
+    state['store_version'] = max(state['store_version'], version)
+    if version > state['snapshot'].version:
+        return
+    take_confirmation(
+        state,
+        confirmation.Confirmation(state['step_sent_at_s'], 'store'),
+    )
+
+
+def take_confirmation(
+    state: ConfigurationState,
+    candidate: confirmation.Confirmation,
+) -> None:
+    """Keeps a confirmation if it is later than the one before."""
+    if candidate.at_s > state['confirmed'].at_s:
+        state['confirmed'] = candidate
+
+
+def add_doubt(state: ConfigurationState, doubt: Doubt) -> None:
+    """Keeps a change whose outcome is unknown until its version exists."""
+    if doubt.version > state['snapshot'].version:
+        state['doubts'][doubt.change_id] = doubt
