--- /dev/null
+++ b/poplarspoke/leases.py
@@ -0,0 +1,414 @@
+"""Leased units of the rates, recorded in one row of the platform's table.
+
+All writes of the row are compare-and-set on its version. The duration of a
+lease is counted from before its commit was sent. A host reclaims an entry after
+it saw it unchanged for longer than a lease, on its own clock, so that no clocks
+are compared.
+"""
+
+import json
+from collections.abc import Mapping
+from typing import NamedTuple, TypedDict
+
+from poplarspoke import codec, invariants
+from poplarspoke.generated.platform import Commit, Row, RowCondition, RowWrite
+from poplarspoke.generated.rates import (
+    LeaseHolder,
+    LeasePromised,
+    LeaseRow,
+    PromiseLease,
+    WorkspaceUnits,
+)
+
+LEASE_KEY = 'rates/leases'
+UNITS = 64  # Units that the leased half of each workspace is divided into.
+LEASE_S = 10.0
+# A lease ends on its holder's clock first, also with a drift of 5%.
+RECLAIM_AFTER_S = 10.5
+# A holder cannot ask hosts for promises that joined after its last renewal;
+# those wait until promises no longer extend its lease.
+MAX_PROMISED_S = 3600.0
+NEWCOMER_RECLAIM_S = 3780.0
+BASE_WEIGHT = 0.25  # Weight of an idle host against the mean demand.
+RELEASE_SLACK_UNITS = 2  # Smaller surpluses stay, against oscillation.
+
+
+class Sent(NamedTuple):
+    """Commit whose effect is not known yet.
+
+    Attributes:
+        sequence: Number that it writes into the own entry.
+        sent_s: Time before it was sent.
+        condition: Row version that it replaces.
+        units: Own units that it writes.
+        reclaims: Whether it removes entries of other hosts.
+    """
+
+    sequence: int
+    sent_s: float
+    condition: int
+    units: dict[str, int]
+    reclaims: bool
+
+
+class Observed(NamedTuple):
+    """Entry of another host since it was last seen to change."""
+
+    incarnation: int
+    sequence: int
+    since_s: float
+
+
+class PromiseRound(NamedTuple):
+    """Request for promises; the lease counts from ``sent_s``."""
+
+    promise_id: int
+    sent_s: float
+    missing: dict[str, int]
+
+
+class Leases(TypedDict):
+    """State of the leases of one host."""
+
+    host: str
+    incarnation: int
+    version: int
+    known: bool
+    sequence: int
+    holders: dict[str, LeaseHolder]
+    observed: dict[str, Observed]
+    sent: list[Sent]
+    committed_s: float
+    lease_until_s: float
+    promised: dict[str, float]
+    round: PromiseRound
+    leaving: bool
+
+
+def create_leases(host: str, incarnation: int) -> Leases:
+    """Returns the state of a host that holds nothing."""
+    return Leases(
+        host=host,
+        incarnation=incarnation,
+        version=0,
+        known=False,
+        sequence=0,
+        holders={},
+        observed={},
+        sent=[],
+        committed_s=0,
+        lease_until_s=float('-inf'),
+        promised={},
+        round=PromiseRound(0, 0, {}),
+        leaving=False,
+    )
+
+
+def usable_units(leases: Leases, workspace: str) -> int:
+    """Returns the units that may be used while the lease lasts.
+
+    A commit without an answer may still take effect, so the lower of its units
+    and those of the row count.
+    """
+    if leases['leaving']:
+        return 0
+    usable = _own_units(leases).get(workspace, 0)
+    for sent in leases['sent']:
+        usable = min(usable, sent.units.get(workspace, 0))
+    return usable
+
+
+def adopt_row(leases: Leases, row: Row, now_s: float) -> bool:
+    """Takes a row over unless a newer one is known; returns whether it did."""
+    if leases['known'] and row.version <= leases['version']:
+        return False
+    content = LeaseRow()
+    if row.content:
+        content = codec.parse(LeaseRow, json.loads(row.content))
+    leases['known'] = True
+    leases['version'] = row.version
+    leases['holders'] = {holder.host: holder for holder in content.holders}
+    _check_units(leases['holders'])
+    _observe(leases, now_s)
+    _count_lease(leases)
+    # A commit on an older version can no longer take effect.
+    leases['sent'] = [
+        sent for sent in leases['sent'] if sent.condition >= row.version
+    ]
+    return True
+
+
+def plan_commit(
+    leases: Leases,
+    demand: Mapping[str, float],
+    bound: frozenset[str],
+    now_s: float,
+) -> Commit:
+    """Returns the commit that renews, reclaims and redistributes units.
+
+    Args:
+        leases: State; the commit is noted as sent.
+        demand: Requests a second of each workspace in the settings.
+        bound: Workspaces whose units must not shrink now.
+        now_s: Time before the commit is sent.
+    """
+    others, reclaims = _keep_holders(leases, now_s)
+    units = _plan_units(leases, others, demand, bound)
+    leases['sequence'] += 1
+    condition = leases['version']
+    leases['sent'].append(
+        Sent(leases['sequence'], now_s, condition, units, reclaims),
+    )
+    holders = list(others.values())
+    if not leases['leaving']:
+        holders.append(_create_entry(leases, units, demand))
+    _check_units({holder.host: holder for holder in holders})
+    row = codec.to_object(LeaseRow(tuple(holders)))
+    return Commit(
+        conditions=(RowCondition(LEASE_KEY, condition),),
+        writes=(RowWrite(LEASE_KEY, json.dumps(row)),),
+    )
+
+
+def is_renewed(leases: Leases) -> bool:
+    """Returns whether the row holds the effect of the last commit."""
+    own = find_own(leases)
+    if own is None:
+        return leases['leaving']
+    return own.sequence == leases['sequence']
+
+
+def start_round(leases: Leases, promise_id: int, now_s: float) -> list[str]:
+    """Returns the hosts whose promises would renew the lease without a store.
+
+    These are all other holders in the row: whoever joined later waits for
+    ``NEWCOMER_RECLAIM_S``. None are asked if there is no other holder or if
+    promises have lasted for ``MAX_PROMISED_S``.
+    """
+    own = find_own(leases)
+    if own is None:
+        return []
+    if now_s + LEASE_S > leases['committed_s'] + MAX_PROMISED_S:
+        return []
+    missing = {
+        holder.host: holder.incarnation
+        for holder in leases['holders'].values()
+        if holder.host != own.host
+    }
+    leases['round'] = PromiseRound(promise_id, now_s, missing)
+    return sorted(missing)
+
+
+def give_promise(
+    leases: Leases,
+    message: PromiseLease,
+    now_s: float,
+) -> LeasePromised:
+    """Returns the promise not to reclaim the sender's units, or its refusal.
+
+    A commit that reclaims and is not known to have failed forbids it.
+    """
+    own = find_own(leases)
+    entry = leases['holders'].get(message.sender)
+    promised = own is not None
+    if not _is_current(entry, message.incarnation):
+        promised = False
+    if any(sent.reclaims for sent in leases['sent']):
+        promised = False
+    if promised:
+        leases['promised'][message.sender] = now_s + RECLAIM_AFTER_S
+    return LeasePromised(
+        sender=leases['host'],
+        promise_id=message.promise_id,
+        incarnation=leases['incarnation'],
+        holder=message.incarnation,
+        promised=promised,
+    )
+
+
+def take_promise(leases: Leases, message: LeasePromised) -> None:
+    """Extends the lease when the last missing promise has come."""
+    current = leases['round']
+    if not message.promised or message.promise_id != current.promise_id:
+        return
+    if message.holder != leases['incarnation']:
+        return
+    if current.missing.get(message.sender) != message.incarnation:
+        return
+    current.missing.pop(message.sender)
+    if current.missing:
+        return
+    until_s = current.sent_s + LEASE_S
+    leases['lease_until_s'] = max(leases['lease_until_s'], until_s)
+
+
+def find_own(leases: Leases) -> LeaseHolder | None:
+    """Returns the entry of this process in the row, if there is one."""
+    own = leases['holders'].get(leases['host'])
+    if own is None or own.incarnation != leases['incarnation']:
+        return None
+    return own
+
+
+def _is_current(holder: LeaseHolder | None, incarnation: int) -> bool:
+    return holder is not None and holder.incarnation == incarnation
+
+
+def _own_units(leases: Leases) -> dict[str, int]:
+    own = find_own(leases)
+    if own is None:
+        return {}
+    return {entry.workspace: entry.units for entry in own.units}
+
+
+def _observe(leases: Leases, now_s: float) -> None:
+    observed = {}
+    for host, holder in leases['holders'].items():
+        seen = leases['observed'].get(host)
+        state = (holder.incarnation, holder.sequence)
+        if seen is None or (seen.incarnation, seen.sequence) != state:
+            seen = Observed(holder.incarnation, holder.sequence, now_s)
+        observed[host] = seen
+    leases['observed'] = observed
+
+
+def _count_lease(leases: Leases) -> None:
+    own = find_own(leases)
+    if own is None:
+        leases['lease_until_s'] = float('-inf')
+        return
+    for sent in leases['sent']:
+        if sent.sequence != own.sequence:
+            continue
+        leases['committed_s'] = sent.sent_s
+        leases['lease_until_s'] = max(
+            leases['lease_until_s'],
+            sent.sent_s + LEASE_S,
+        )
+
+
+def _keep_holders(
+    leases: Leases,
+    now_s: float,
+) -> tuple[dict[str, LeaseHolder], bool]:
+    kept = {}
+    for host, holder in leases['holders'].items():
+        if host == leases['host'] or _is_reclaimable(leases, holder, now_s):
+            continue
+        kept[host] = holder
+    own = 1 if leases['host'] in leases['holders'] else 0
+    return kept, len(kept) + own < len(leases['holders'])
+
+
+def _is_reclaimable(
+    leases: Leases,
+    holder: LeaseHolder,
+    now_s: float,
+) -> bool:
+    own = find_own(leases)
+    wait_s = NEWCOMER_RECLAIM_S
+    if own is not None and own.joined < holder.renewed:
+        wait_s = RECLAIM_AFTER_S
+    if now_s < leases['promised'].get(holder.host, now_s):
+        return False
+    return now_s - leases['observed'][holder.host].since_s > wait_s
+
+
+def _plan_units(
+    leases: Leases,
+    others: Mapping[str, LeaseHolder],
+    demand: Mapping[str, float],
+    bound: frozenset[str],
+) -> dict[str, int]:
+    if leases['leaving']:
+        return {}
+    return {
+        workspace: _plan_workspace(
+            leases,
+            others,
+            workspace,
+            demand,
+            can_shrink=workspace not in bound,
+        )
+        for workspace in demand
+    }
+
+
+def _plan_workspace(
+    leases: Leases,
+    others: Mapping[str, LeaseHolder],
+    workspace: str,
+    demand: Mapping[str, float],
+    *,
+    can_shrink: bool,
+) -> int:
+    taken = 0
+    demands = [(leases['host'], demand[workspace])]
+    for holder in others.values():
+        entry = _find_units(holder, workspace)
+        taken += entry.units
+        demands.append((holder.host, entry.demand))
+    held = _own_units(leases).get(workspace, 0)
+    target = _find_target(leases['host'], demands)
+    if held <= target:
+        return max(min(target, UNITS - taken), 0)
+    if can_shrink and held > target + RELEASE_SLACK_UNITS:
+        return target
+    return held
+
+
+def _find_target(host: str, demands: list[tuple[str, float]]) -> int:
+    """Returns the host's units in proportion to demand, rounded fairly."""
+    total = sum(wanted for _, wanted in demands)
+    base = max(BASE_WEIGHT * total / len(demands), 1)
+    whole = total + base * len(demands)
+    units_before = 0
+    weight = float(0)
+    for name, wanted in sorted(demands):
+        weight += wanted + base
+        units_until = round(UNITS * weight / whole)
+        if name == host:
+            return units_until - units_before
+        units_before = units_until
+    return 0
+
+
+def _find_units(holder: LeaseHolder, workspace: str) -> WorkspaceUnits:
+    for entry in holder.units:
+        if entry.workspace == workspace:
+            return entry
+    return WorkspaceUnits()
+
+
+def _create_entry(
+    leases: Leases,
+    units: Mapping[str, int],
+    demand: Mapping[str, float],
+) -> LeaseHolder:
+    own = find_own(leases)
+    joined = leases['version'] if own is None else own.joined
+    return LeaseHolder(
+        host=leases['host'],
+        incarnation=leases['incarnation'],
+        sequence=leases['sequence'],
+        joined=joined,
+        renewed=leases['version'],
+        units=tuple(
+            WorkspaceUnits(workspace, units[workspace], demand[workspace])
+            for workspace in sorted(units)
+        ),
+    )
+
+
+def _check_units(holders: Mapping[str, LeaseHolder]) -> None:
+    totals: dict[str, int] = {}
+    for holder in holders.values():
+        for entry in holder.units:
+            totals.setdefault(entry.workspace, 0)
+            totals[entry.workspace] += entry.units
+    for workspace, units in totals.items():
+        invariants.check(
+            holds=units <= UNITS,
+            code='R7',
+            detail=f'{units} of {UNITS} units of {workspace!r} are leased',
+        )
--- a/poplarspoke/schema/peers.capnp
+++ b/poplarspoke/schema/peers.capnp
@@ -24,5 +24,7 @@
     lendTokens @6 :Rates.LendTokens;
     fetchSettings @7 :Configuration.FetchSettings;
     settingsSnapshot @8 :Configuration.SettingsSnapshot;
+    promiseLease @9 :Rates.PromiseLease;
+    leasePromised @10 :Rates.LeasePromised;
   }
 }
