--- a/poplarspoke/leases.py
+++ b/poplarspoke/leases.py
@@ -10,7 +10,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple, TypedDict
 
-from poplarspoke import codec, invariants
+from poplarspoke import codec, units
 from poplarspoke.generated.platform import Commit, Row, RowCondition, RowWrite
 from poplarspoke.generated.rates import (
     LeaseHolder,
@@ -21,7 +21,6 @@
 )
 
 LEASE_KEY = 'rates/leases'
-UNITS = 64  # Units that the leased half of each workspace is divided into.
 LEASE_S = 10.0
 # A lease ends on its holder's clock first, also with a drift of 5%.
 RECLAIM_AFTER_S = 10.5
@@ -29,8 +28,6 @@
 # those wait until promises no longer extend its lease.
 MAX_PROMISED_S = 3600.0
 NEWCOMER_RECLAIM_S = 3780.0
-BASE_WEIGHT = 0.25  # Weight of an idle host against the mean demand.
-RELEASE_SLACK_UNITS = 2  # Smaller surpluses stay, against oscillation.
 
 
 class Sent(NamedTuple):
@@ -128,7 +125,7 @@
     leases['known'] = True
     leases['version'] = row.version
     leases['holders'] = {holder.host: holder for holder in content.holders}
-    _check_units(leases['holders'])
+    units.check_units(leases['holders'])
     _observe(leases, now_s)
     _count_lease(leases)
     # A commit on an older version can no longer take effect.
@@ -153,16 +150,26 @@
         now_s: Time before the commit is sent.
     """
     others, reclaims = _keep_holders(leases, now_s)
-    units = _plan_units(leases, others, demand, bound)
+    planned = {}
+    for workspace, wanted in demand.items():
+        planned[workspace] = units.plan_workspace(
+            leases['host'],
+            _own_units(leases).get(workspace, 0),
+            WorkspaceUnits(workspace=workspace, demand=wanted),
+            others.values(),
+            can_shrink=workspace not in bound,
+        )
+    if leases['leaving']:
+        planned = {}
     leases['sequence'] += 1
     condition = leases['version']
     leases['sent'].append(
-        Sent(leases['sequence'], now_s, condition, units, reclaims),
+        Sent(leases['sequence'], now_s, condition, planned, reclaims),
     )
     holders = list(others.values())
     if not leases['leaving']:
-        holders.append(_create_entry(leases, units, demand))
-    _check_units({holder.host: holder for holder in holders})
+        holders.append(_create_entry(leases, planned, demand))
+    units.check_units({holder.host: holder for holder in holders})
     row = codec.to_object(LeaseRow(tuple(holders)))
     return Commit(
         conditions=(RowCondition(LEASE_KEY, condition),),
@@ -314,75 +321,9 @@
     return now_s - leases['observed'][holder.host].since_s > wait_s
 
 
-def _plan_units(
-    leases: Leases,
-    others: Mapping[str, LeaseHolder],
-    demand: Mapping[str, float],
-    bound: frozenset[str],
-) -> dict[str, int]:
-    if leases['leaving']:
-        return {}
-    return {
-        workspace: _plan_workspace(
-            leases,
-            others,
-            workspace,
-            demand,
-            can_shrink=workspace not in bound,
-        )
-        for workspace in demand
-    }
-
-
-def _plan_workspace(
-    leases: Leases,
-    others: Mapping[str, LeaseHolder],
-    workspace: str,
-    demand: Mapping[str, float],
-    *,
-    can_shrink: bool,
-) -> int:
-    taken = 0
-    demands = [(leases['host'], demand[workspace])]
-    for holder in others.values():
-        entry = _find_units(holder, workspace)
-        taken += entry.units
-        demands.append((holder.host, entry.demand))
-    held = _own_units(leases).get(workspace, 0)
-    target = _find_target(leases['host'], demands)
-    if held <= target:
-        return max(min(target, UNITS - taken), 0)
-    if can_shrink and held > target + RELEASE_SLACK_UNITS:
-        return target
-    return held
-
-
-def _find_target(host: str, demands: list[tuple[str, float]]) -> int:
-    """Returns the host's units in proportion to demand, rounded fairly."""
-    total = sum(wanted for _, wanted in demands)
-    base = max(BASE_WEIGHT * total / len(demands), 1)
-    whole = total + base * len(demands)
-    units_before = 0
-    weight = float(0)
-    for name, wanted in sorted(demands):
-        weight += wanted + base
-        units_until = round(UNITS * weight / whole)
-        if name == host:
-            return units_until - units_before
-        units_before = units_until
-    return 0
-
-
-def _find_units(holder: LeaseHolder, workspace: str) -> WorkspaceUnits:
-    for entry in holder.units:
-        if entry.workspace == workspace:
-            return entry
-    return WorkspaceUnits()
-
-
 def _create_entry(
     leases: Leases,
-    units: Mapping[str, int],
+    planned: Mapping[str, int],
     demand: Mapping[str, float],
 ) -> LeaseHolder:
     own = find_own(leases)
@@ -394,21 +335,7 @@
         joined=joined,
         renewed=leases['version'],
         units=tuple(
-            WorkspaceUnits(workspace, units[workspace], demand[workspace])
-            for workspace in sorted(units)
+            WorkspaceUnits(workspace, planned[workspace], demand[workspace])
+            for workspace in sorted(planned)
         ),
     )
-
-
-def _check_units(holders: Mapping[str, LeaseHolder]) -> None:
-    totals: dict[str, int] = {}
-    for holder in holders.values():
-        for entry in holder.units:
-            totals.setdefault(entry.workspace, 0)
-            totals[entry.workspace] += entry.units
-    for workspace, units in totals.items():
-        invariants.check(
-            holds=units <= UNITS,
-            code='R7',
-            detail=f'{units} of {UNITS} units of {workspace!r} are leased',
-        )
--- /dev/null
+++ b/poplarspoke/units.py
@@ -0,0 +1,80 @@
+"""How the leased units of a workspace are divided over the hosts."""
+
+from collections.abc import Iterable, Mapping
+
+from poplarspoke import invariants
+from poplarspoke.generated.rates import LeaseHolder, WorkspaceUnits
+
+UNITS = 64  # Units that the leased half of each workspace is divided into.
+BASE_WEIGHT = 0.25  # Weight of an idle host against the mean demand.
+RELEASE_SLACK_UNITS = 2  # Smaller surpluses stay, against oscillation.
+
+
+def plan_workspace(
+    host: str,
+    held: int,
+    own: WorkspaceUnits,
+    others: Iterable[LeaseHolder],
+    *,
+    can_shrink: bool,
+) -> int:
+    """Returns the units that a host should write for a workspace.
+
+    Args:
+        host: Name of the host.
+        held: Units that it holds in the row.
+        own: Workspace and demand of the host.
+        others: Entries of the other hosts.
+        can_shrink: Whether the host may release units now.
+    """
+    taken = 0
+    demands = [(host, own.demand)]
+    for holder in others:
+        entry = find_units(holder, own.workspace)
+        taken += entry.units
+        demands.append((holder.host, entry.demand))
+    target = find_target(host, demands)
+    if held <= target:
+        return max(min(target, UNITS - taken), held)
+    if can_shrink and held > target + RELEASE_SLACK_UNITS:
+        return target
+    return held
+
+
+def find_target(host: str, demands: list[tuple[str, float]]) -> int:
+    """Returns the host's units in proportion to demand, rounded fairly."""
+    total = sum(wanted for _, wanted in demands)
+    base = max(BASE_WEIGHT * total / len(demands), 1)
+    whole = total + base * len(demands)
+    units_before = 0
+    weight = float(0)
+    for name, wanted in sorted(demands):
+        weight += wanted + base
+        units_until = round(UNITS * weight / whole)
+        if name == host:
+            return units_until - units_before
+        units_before = units_until
+    return 0
+
+
+def find_units(holder: LeaseHolder, workspace: str) -> WorkspaceUnits:
+    """Returns the units of a workspace in an entry."""
+    for entry in holder.units:
+        if entry.workspace == workspace:
+            return entry
+    return WorkspaceUnits()
+
+
+def check_units(holders: Mapping[str, LeaseHolder]) -> None:
+    """Checks that no workspace has more units leased than there are."""
+    totals: dict[str, int] = {}
+    for holder in holders.values():
+        for entry in holder.units:
+            totals.setdefault(entry.workspace, 0)
+            totals[entry.workspace] += entry.units
+    for workspace, units in totals.items():
+        invariants.check(
+            holds=units <= UNITS,
+            code='R7',
+            detail=f'{units} of {UNITS} units of {workspace!r} are leased',
+        )
