Add the benchmark of wrongful refusals

Each load runs the shipped policy, a static split and a one-place oracle on the same arrivals in virtual time, so the table repeats exactly.

--- /dev/null
+++ b/bench/rates.py
@@ -0,0 +1,274 @@
+"""Wrongful refusals of the rates against a static split and an oracle.
+
+Run with ``python -m bench.rates``. Virtual time, fixed seeds: the output
+repeats exactly. A refusal is wrongful if one bucket for all hosts, charged with
+what the same policy admitted, had a token when the request came.
+"""
+
+import functools
+import random
+import statistics
+from collections.abc import Callable
+from typing import NamedTuple
+
+from bench.rate_fleet import STORE, Fleet, Oracle
+from poplarspoke.generated.rates import WorkspaceRate
+
+SEEDS = (1, 2, 3, 4, 5, 6)
+ZONES = (('a1', 'a2', 'a3'), ('b1', 'b2', 'b3'), ('c1', 'c2'))
+NAMES = tuple(name for zone in ZONES for name in zone)
+WARM_UP_S = 12.0
+LENGTH_S = 20.0
+FAULT_S = 5.0
+MOVE_S = 4.0
+BUDGET_S = 0.5
+STATIC_WAIT_S = 0.25  # The same wait as that of the shipped policy.
+LOAD = 0.9  # Offered load against the rate.
+STEADY = WorkspaceRate('w', 100, 50)
+BURSTY = WorkspaceRate('w', 20, 16)
+BURST_SIZE = 14
+BURST_SPREAD_S = 0.005
+SLACK = 1e-3  # Rounding of the bound.
+
+
+class Arrival(NamedTuple):
+    """Request at a time after the warm-up."""
+
+    time_s: float
+    host: str
+
+
+class Scenario(NamedTuple):
+    """A load and its faults."""
+
+    name: str
+    limit: WorkspaceRate
+    arrive: Callable[[random.Random], list[Arrival]]
+    dead: str = ''
+    store_down: bool = False
+
+
+class Figures(NamedTuple):
+    """What one run of a policy gave."""
+
+    asked: int
+    admitted: int
+    wrongful: int
+    messages: float = 0  # For each host and second.
+    writes: float = 0  # For each second.
+
+
+def arrive_steadily(
+    rng: random.Random,
+    choose: Callable[[random.Random, float], str],
+) -> list[Arrival]:
+    """Returns Poisson arrivals below the rate."""
+    arrivals = []
+    time_s = rng.expovariate(STEADY.rate * LOAD)
+    while time_s < LENGTH_S:
+        arrivals.append(Arrival(time_s, choose(rng, time_s)))
+        time_s += rng.expovariate(STEADY.rate * LOAD)
+    return arrivals
+
+
+def arrive_in_bursts(rng: random.Random) -> list[Arrival]:
+    """Returns a burst on random hosts in each second."""
+    arrivals = []
+    for second in range(int(LENGTH_S)):
+        for _ in range(BURST_SIZE):
+            time_s = second + rng.uniform(0, BURST_SPREAD_S)
+            arrivals.append(Arrival(time_s, rng.choice(NAMES)))
+    return sorted(arrivals)
+
+
+def choose_any(rng: random.Random, time_s: float) -> str:
+    """Returns any host."""
+    return rng.choice(NAMES)
+
+
+def choose_zone(rng: random.Random, time_s: float) -> str:
+    """Returns a host of the first zone."""
+    return rng.choice(ZONES[0])
+
+
+def choose_one(rng: random.Random, time_s: float) -> str:
+    """Returns one host."""
+    return NAMES[0]
+
+
+def choose_moving(rng: random.Random, time_s: float) -> str:
+    """Returns another host after every few seconds."""
+    return NAMES[int(time_s / MOVE_S) * 3 % len(NAMES)]
+
+
+def choose_living(rng: random.Random, time_s: float) -> str:
+    """Returns any host but the one that dies."""
+    return rng.choice(NAMES[:-1])
+
+
+def steady(
+    choose: Callable[[random.Random, float], str],
+) -> Callable[[random.Random], list[Arrival]]:
+    """Returns steady arrivals on chosen hosts."""
+    return functools.partial(arrive_steadily, choose=choose)
+
+
+SCENARIOS = (
+    Scenario('even', STEADY, steady(choose_any)),
+    Scenario('one zone', STEADY, steady(choose_zone)),
+    Scenario('one host', STEADY, steady(choose_one)),
+    Scenario('moving', STEADY, steady(choose_moving)),
+    Scenario('small bursts', BURSTY, arrive_in_bursts),
+    Scenario('host dead', STEADY, steady(choose_living), dead=NAMES[-1]),
+    Scenario('store down', STEADY, steady(choose_zone), store_down=True),
+    Scenario(
+        'both, moving',
+        STEADY,
+        steady(choose_moving),
+        dead=NAMES[-1],
+        store_down=True,
+    ),
+)
+
+
+def run_shipped(scenario: Scenario, seed: int) -> Figures:
+    """Runs the shipped policy."""
+    fleet = Fleet(NAMES, (scenario.limit,), seed=seed)
+    fleet.network.run(WARM_UP_S)
+    sent = (fleet.network.messages, fleet.table.writes)
+    _schedule_faults(fleet, scenario)
+    asked: list[tuple[Arrival, str]] = []
+    for arrival in scenario.arrive(random.Random(seed)):
+        fleet.network.run(WARM_UP_S + arrival.time_s)
+        request_id = fleet.request(arrival.host, 'w', BUDGET_S)
+        asked.append((arrival, request_id))
+    fleet.network.run(WARM_UP_S + LENGTH_S + BUDGET_S)
+    outcomes = []
+    for asked_by, answered_id in asked:
+        answer = fleet.record.answers[answered_id]
+        answered_s = answer.time_s - WARM_UP_S
+        outcomes.append((asked_by.time_s, answer.admitted, answered_s))
+    if fleet.record.oracles['w'].lowest + SLACK < 0:
+        raise ValueError('the bound was exceeded')
+    figures = count(scenario.limit, outcomes)
+    host_seconds = LENGTH_S * len(NAMES)
+    return figures._replace(
+        messages=(fleet.network.messages - sent[0]) / host_seconds,
+        writes=(fleet.table.writes - sent[1]) / LENGTH_S,
+    )
+
+
+def run_static(scenario: Scenario, seed: int) -> Figures:
+    """Runs a bucket of an equal part on each host, with the same wait."""
+    parts = {
+        name: Oracle(
+            scenario.limit.rate / len(NAMES),
+            scenario.limit.burst / len(NAMES),
+        )
+        for name in NAMES
+    }
+    outcomes = []
+    for arrival in scenario.arrive(random.Random(seed)):
+        part = parts[arrival.host]
+        level = part.settle(arrival.time_s)
+        wait_s = max(1 - level, 0) / part.rate
+        # A share below one token fills up while the request waits.
+        admitted = wait_s <= STATIC_WAIT_S
+        if admitted:
+            part.level -= 1
+        outcomes.append((arrival.time_s, admitted, arrival.time_s + wait_s))
+    return count(scenario.limit, outcomes)
+
+
+def run_oracle(scenario: Scenario, seed: int) -> Figures:
+    """Runs one bucket for all hosts, which never waits."""
+    whole = Oracle(scenario.limit.rate, scenario.limit.burst)
+    outcomes = []
+    for arrival in scenario.arrive(random.Random(seed)):
+        admitted = whole.settle(arrival.time_s) >= 1
+        if admitted:
+            whole.level -= 1
+        outcomes.append((arrival.time_s, admitted, arrival.time_s))
+    return count(scenario.limit, outcomes)
+
+
+def count(
+    limit: WorkspaceRate,
+    outcomes: list[tuple[float, bool, float]],
+) -> Figures:
+    """Counts wrongful refusals.
+
+    Args:
+        limit: Rate and burst of the whole fleet.
+        outcomes: Time of the request, whether it was admitted, and when.
+    """
+    whole = Oracle(limit.rate, limit.burst)
+    steps = []
+    for asked_s, admitted, admitted_s in outcomes:
+        steps.append((admitted_s if admitted else asked_s, admitted))
+    wrongful = 0
+    for time_s, admitted in sorted(steps):
+        if admitted:
+            whole.charge(time_s)
+            continue
+        wrongful += int(whole.settle(time_s) >= 1)
+    total = sum(int(outcome[1]) for outcome in outcomes)
+    return Figures(len(outcomes), total, wrongful)
+
+
+def _schedule_faults(fleet: Fleet, scenario: Scenario) -> None:
+    if scenario.dead:
+        stop = functools.partial(fleet.stop, scenario.dead)
+        fleet.network.at(WARM_UP_S + FAULT_S, stop)
+    if scenario.store_down:
+        cuts = {frozenset((name, STORE)) for name in NAMES}
+        cut = functools.partial(fleet.network.cuts.update, cuts)
+        fleet.network.at(WARM_UP_S + FAULT_S, cut)
+
+
+def _spread(found: list[float]) -> str:
+    middle = statistics.median(found)
+    return f'{middle:6.2f} [{min(found):.2f}, {max(found):.2f}]'
+
+
+def _percent(figures: Figures) -> float:
+    return figures.wrongful * 100 / figures.asked
+
+
+def _report(scenario: Scenario) -> None:
+    shipped = [run_shipped(scenario, seed) for seed in SEEDS]
+    static = [run_static(scenario, seed) for seed in SEEDS]
+    oracle = [run_oracle(scenario, seed) for seed in SEEDS]
+    ratios = [
+        own.admitted / best.admitted
+        for own, best in zip(shipped, oracle, strict=True)
+    ]
+    static_ratios = [
+        own.admitted / best.admitted
+        for own, best in zip(static, oracle, strict=True)
+    ]
+    cells = (
+        f'{scenario.name:13}',
+        _spread([_percent(figures) for figures in shipped]),
+        _spread([_percent(figures) for figures in static]),
+        _spread([_percent(figures) for figures in oracle]),
+        _spread(ratios),
+        _spread(static_ratios),
+        _spread([figures.messages for figures in shipped]),
+        _spread([figures.writes for figures in shipped]),
+    )
+    print(' | '.join(cells))
+
+
+def main() -> None:
+    """Prints one line for each load: median [lowest, highest] of the seeds."""
+    print(
+        'load | wrongful % shipped | static | oracle | admitted/oracle shipped'
+        ' | static | messages/host/s | writes/s',
+    )
+    for scenario in SCENARIOS:
+        _report(scenario)
+
+
+if __name__ == '__main__':
+    main()
