--- /dev/null
+++ b/bench/rate_fleet.py
@@ -0,0 +1,337 @@
+"""Several hosts of the rates in virtual time, with a fake table.
+
+Messages take a latency and may be lost, repeated or late; pairs of hosts, and
+hosts and the table, can be cut off from each other; hosts can pause, die and
+restart. One seeded random source decides, so that a run repeats exactly.
+"""
+
+import functools
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from poplarspoke import leases, rates, shares
+from poplarspoke.generated.common import Tick
+from poplarspoke.generated.platform import (
+    Commit,
+    CommitResult,
+    ReadRows,
+    Row,
+    RowsRead,
+)
+from poplarspoke.generated.rates import (
+    AdmitRequest,
+    Admitted,
+    LivePeers,
+    RateSettings,
+    WorkspaceRate,
+)
+from poplarspoke.tasks import Outgoing, Reply, ToHost, ToStore
+
+STORE = 'store'
+TICK_S = 0.05
+LATENCY_S = 0.0015
+JITTER = 0.2
+
+
+class Answer(NamedTuple):
+    """Answer to a request at a time of the fleet."""
+
+    host: str
+    workspace: str
+    admitted: bool
+    time_s: float
+
+
+class Oracle:
+    """One bucket for the whole fleet; its level shows any excess."""
+
+    def __init__(self, rate: float, burst: float) -> None:
+        """Starts with a full bucket."""
+        self.rate = rate
+        self.burst = burst
+        self.level = burst
+        self.lowest = burst
+        self.now_s = float(0)
+
+    def settle(self, now_s: float) -> float:
+        """Returns the tokens at a time."""
+        refill = max(now_s - self.now_s, 0) * self.rate
+        self.now_s = max(now_s, self.now_s)
+        self.level = min(self.level + refill, self.burst)
+        return self.level
+
+    def charge(self, now_s: float) -> None:
+        """Takes a token, also below zero.
+
+        The level is below zero exactly if some interval has more admitted
+        requests than burst + rate * length.
+        """
+        self.settle(now_s)
+        self.level -= 1
+        self.lowest = min(self.lowest, self.level)
+
+
+class Host:
+    """One host: its state, and what arrived while it was paused."""
+
+    def __init__(self, name: str, state: shares.Rates, offset_s: float) -> None:
+        """Takes the state; the offset is the difference of its clock."""
+        self.name = name
+        self.state = state
+        self.offset_s = offset_s
+        self.paused = False
+        self.backlog: list[Any] = []
+
+
+class Faults(NamedTuple):
+    """Faults of all links.
+
+    Attributes:
+        lost: Fraction of messages that are lost.
+        repeated: Fraction of messages that arrive twice.
+        late_s: Longest additional delay.
+        answers_lost: Fraction of the table's answers lost after the effect.
+    """
+
+    lost: float = 0
+    repeated: float = 0
+    late_s: float = 0
+    answers_lost: float = 0
+
+
+class Event(NamedTuple):
+    """Act at a time; the number keeps the order of equal times."""
+
+    time_s: float
+    number: int
+    act: Callable[[], None]
+
+
+class Network:
+    """Clock, event queue and links."""
+
+    def __init__(self, seed: int) -> None:
+        """Starts at time 0 without faults."""
+        self.rng = random.Random(seed)
+        self.now_s = float(0)
+        self.cuts: set[frozenset[str]] = set()
+        self.faults = Faults()
+        self.messages = 0
+        self._numbers = itertools.count(1)
+        self._events: list[Event] = []
+
+    def at(self, time_s: float, act: Callable[[], None]) -> None:
+        """Schedules an act."""
+        heapq.heappush(self._events, Event(time_s, next(self._numbers), act))
+
+    def run(self, until_s: float) -> None:
+        """Runs the events up to a time."""
+        while self._events and self._events[0].time_s <= until_s:
+            event = heapq.heappop(self._events)
+            self.now_s = event.time_s
+            event.act()
+        self.now_s = until_s
+
+    def link(self, source: str, target: str, act: Callable[[], None]) -> None:
+        """Schedules an arrival unless the link is cut or loses it."""
+        if frozenset((source, target)) in self.cuts:
+            return
+        if self.rng.random() < self.faults.lost:
+            return
+        copies = 2 if self.rng.random() < self.faults.repeated else 1
+        for _ in range(copies):
+            delay_s = LATENCY_S * (1 + self.rng.uniform(-JITTER, JITTER))
+            delay_s += self.rng.uniform(0, self.faults.late_s)
+            self.at(self.now_s + delay_s, act)
+
+
+class Table:
+    """The lease row and how often it was written."""
+
+    def __init__(self) -> None:
+        """Starts without the row."""
+        self.row = Row(key=leases.LEASE_KEY)
+        self.writes = 0
+
+
+class Record:
+    """Requests, their answers, and what the oracles see."""
+
+    def __init__(self, workspaces: tuple[WorkspaceRate, ...]) -> None:
+        """Creates one oracle for each workspace."""
+        self.asked: dict[str, str] = {}
+        self.answers: dict[str, Answer] = {}
+        self.oracles = {
+            entry.workspace: Oracle(entry.rate, entry.burst)
+            for entry in workspaces
+        }
+
+
+class Fleet:
+    """Hosts with their links and their table."""
+
+    def __init__(
+        self,
+        names: tuple[str, ...],
+        workspaces: tuple[WorkspaceRate, ...],
+        *,
+        seed: int,
+    ) -> None:
+        """Starts all hosts with the same settings."""
+        self.network = Network(seed)
+        self.table = Table()
+        self.record = Record(workspaces)
+        self.hosts: dict[str, Host] = {}
+        self.settings = RateSettings(1, names, workspaces, 60)
+        self._ids = itertools.count(1)
+        for name in names:
+            self.start(name)
+
+    @property
+    def now_s(self) -> float:
+        """Returns the time of the fleet."""
+        return self.network.now_s
+
+    def wait(self, wait_s: float) -> None:
+        """Runs the events of the next seconds."""
+        self.network.run(self.now_s + wait_s)
+
+    def start(self, name: str) -> None:
+        """Starts a host, also again with a new incarnation."""
+        number = next(self._ids)
+        offset_s = self.network.rng.uniform(0, 1000)
+        state = shares.create_state(
+            name,
+            incarnation=number,
+            seed=number,
+            now_s=self.now_s + offset_s,
+        )
+        host = Host(name, state, offset_s)
+        self.hosts[name] = host
+        self.handle(host, self.settings)
+        for other in self.hosts.values():
+            self.handle(other, LivePeers(tuple(self.hosts)))
+        first_s = self.network.rng.uniform(0, TICK_S)
+        self.network.at(self.now_s + first_s, self._tick(host))
+
+    def stop(self, name: str) -> None:
+        """Kills a host."""
+        self.hosts.pop(name)
+
+    def resume(self, name: str) -> None:
+        """Lets a paused host handle what arrived meanwhile."""
+        host = self.hosts[name]
+        host.paused = False
+        backlog = host.backlog
+        host.backlog = []
+        for message in backlog:
+            self.handle(host, message)
+
+    def request(self, name: str, workspace: str, budget_s: float) -> str:
+        """Sends a request to a host; returns its id."""
+        request_id = str(next(self._ids))
+        self.record.asked[request_id] = workspace
+        self.arrive(name, AdmitRequest(request_id, workspace, budget_s))
+        return request_id
+
+    def is_running(self, host: Host) -> bool:
+        """Returns whether this process of a host still runs."""
+        return any(host is running for running in self.hosts.values())
+
+    def handle(self, host: Host, message: Any) -> None:
+        """Lets a host decide and sends what it returns."""
+        if not self.is_running(host):
+            return
+        if host.paused:
+            host.backlog.append(message)
+            return
+        now_s = self.now_s + host.offset_s
+        for outgoing in rates.decide(message, host.state, now_s):
+            send(outgoing, self, host)
+
+    def arrive(self, name: str, message: Any) -> None:
+        """Delivers a message to whatever process runs on a host."""
+        host = self.hosts.get(name)
+        if host is not None:
+            self.handle(host, message)
+
+    def serve_store(self, host: Host, message: Any) -> None:
+        """Answers a request to the table."""
+        answer = apply(message, self)
+        if self.network.rng.random() < self.network.faults.answers_lost:
+            return
+        arrive = functools.partial(self.handle, host, answer)
+        self.network.link(STORE, host.name, arrive)
+
+    def take(self, host: Host, reply: Reply) -> None:
+        """Notes an answer and charges an admitted request."""
+        workspace = self.record.asked[reply.request_id]
+        admitted = reply.message.__class__ is Admitted
+        self.record.answers[reply.request_id] = Answer(
+            host.name,
+            workspace,
+            admitted,
+            self.now_s,
+        )
+        if admitted:
+            self.record.oracles[workspace].charge(self.now_s)
+
+    def _tick(self, host: Host) -> Callable[[], None]:
+        return functools.partial(self._run_tick, host)
+
+    def _run_tick(self, host: Host) -> None:
+        if not self.is_running(host):
+            return
+        if not host.paused:
+            self.handle(host, Tick())
+        self.network.at(self.now_s + TICK_S, self._tick(host))
+
+
+@functools.singledispatch
+def send(outgoing: Outgoing, fleet: Fleet, host: Host) -> None:
+    """Sends an outgoing message by its type."""
+    raise TypeError(type(outgoing).__name__)
+
+
+@send.register
+def _(outgoing: ToHost, fleet: Fleet, host: Host) -> None:
+    fleet.network.messages += 1
+    arrive = functools.partial(fleet.arrive, outgoing.host, outgoing.message)
+    fleet.network.link(host.name, outgoing.host, arrive)
+
+
+@send.register
+def _(outgoing: ToStore, fleet: Fleet, host: Host) -> None:
+    serve = functools.partial(fleet.serve_store, host, outgoing.message)
+    fleet.network.link(host.name, STORE, serve)
+
+
+@send.register
+def _(outgoing: Reply, fleet: Fleet, host: Host) -> None:
+    fleet.take(host, outgoing)
+
+
+@functools.singledispatch
+def apply(message: Any, fleet: Fleet) -> Any:
+    """Applies a request to the fake table and returns the answer."""
+    raise TypeError(type(message).__name__)
+
+
+@apply.register
+def _(message: ReadRows, fleet: Fleet) -> RowsRead:
+    return RowsRead((fleet.table.row,), fleet.now_s)
+
+
+@apply.register
+def _(message: Commit, fleet: Fleet) -> CommitResult:
+    committed = message.conditions[0].version == fleet.table.row.version
+    if committed:
+        fleet.table.writes += 1
+        content = message.writes[0].content
+        fleet.table.row = Row(
+            leases.LEASE_KEY, fleet.table.row.version + 1, content
+        )
+    return CommitResult(committed, (fleet.table.row,), fleet.now_s)
