--- a/poplarspoke/schema/peers.capnp
+++ b/poplarspoke/schema/peers.capnp
@@ -4,6 +4,7 @@
 using Rates = import "rates.capnp";
 using Membership = import "membership.capnp";
 using Configuration = import "configuration.capnp";
+using Failover = import "failover.capnp";
 
 struct Hello {
   # First frame on a link; proves knowledge of the peer secret.
@@ -24,5 +25,6 @@
     lendTokens @6 :Rates.LendTokens;
     fetchSettings @7 :Configuration.FetchSettings;
     settingsSnapshot @8 :Configuration.SettingsSnapshot;
+    primaryAnnounced @9 :Failover.PrimaryAnnounced;
   }
 }
