Test the failover on a virtual clock and network

A state machine over 3 members and 3 hosts loses, delays and reorders messages, cuts, pauses and restarts processes and slows or stops the table.

--- /dev/null
+++ b/tests/failover_world.py
@@ -0,0 +1,357 @@
+"""Members, hosts and the platform's table on a virtual clock and network.
+
+The members are the stand-in's own decisions, the hosts the failover decisions.
+Every message may be delayed, lost or reordered. The invariants are checked
+when a member is promoted and when a write is acknowledged.
+"""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from poplarspoke import attempts, failover, majorities, tasks
+from poplarspoke.generated import failover as calls
+from poplarspoke.generated import members as schema
+from poplarspoke.generated import platform
+from poplarspoke.generated.common import Position, Tick
+from poplarspoke.standins import database, member_state, replication
+
+MEMBERS = ('m1', 'm2', 'm3')
+HOSTS = ('h1', 'h2', 'h3')
+ZONES = {'m1': 'za', 'm2': 'zb', 'm3': 'zc'}
+STORE = 'store'
+TICK_S = 0.05
+CALL_TIMEOUT_S = 1.0
+CONFIRM_WAIT_S = 1.0
+
+
+class Written(NamedTuple):
+    """A write that a caller got an acknowledgement for."""
+
+    request_id: str
+    position: Position
+
+
+class World:
+    """All parts of one database group; ``run`` lets virtual time pass."""
+
+    def __init__(self, seed: int = 0) -> None:
+        """Creates 3 members in 3 zones, 3 hosts and an empty table."""
+        self.now_s = 100.0
+        self.random = random.Random(seed)
+        self.events: list[tuple[float, int, Callable[[], None]]] = []
+        self.numbers = itertools.count(1)
+        self.cuts: set[frozenset[str]] = set()
+        self.loss = 0.0
+        self.delay_s = 0.02
+        self.store_delay_s = 0.01
+        self.store_loses_answers = False
+        self.paused: dict[str, list[Callable[[], None]]] = {}
+        self.row = platform.Row(key='database/db')
+        self.members = {
+            name: member_state.create_state(name, MEMBERS, self.now_s)
+            for name in MEMBERS
+        }
+        self.replies: dict[str, Callable[[Any], None]] = {}
+        self.hosts: dict[str, attempts.FailoverState] = {}
+        self.primaries: dict[int, str] = {}
+        self.adoptions: list[tuple[int, str, int]] = []
+        self.acknowledged: list[Written] = []
+        self.acknowledged_s = 0.0
+        self.executions: dict[Written, int] = {}
+        for name in HOSTS:
+            self.restart(name)
+        for name in (*MEMBERS, *HOSTS):
+            self.tick(name)
+
+    def restart(self, host: str) -> None:
+        """Starts a host again, without anything it knew."""
+        state = attempts.create_state(
+            host,
+            next(self.numbers),
+            'db',
+            tuple(
+                attempts.MemberPlace(name, ZONES[name], '127.0.0.1:1')
+                for name in MEMBERS
+            ),
+            listeners=('routing',),
+            now_s=self.now_s,
+        )
+        self.hosts[host] = state
+        peers = tuple(name for name in HOSTS if name != host)
+        rank = calls.CandidateRank(HOSTS.index(host), peers)
+        failover.decide(rank, state, self.now_s)
+
+    def at(self, delay_s: float, act: Callable[[], None]) -> None:
+        """Schedules an act."""
+        event = (self.now_s + delay_s, next(self.numbers), act)
+        heapq.heappush(self.events, event)
+
+    def run(self, duration_s: float) -> None:
+        """Lets virtual time pass."""
+        end_s = self.now_s + duration_s
+        while self.events and self.events[0][0] <= end_s:
+            self.now_s, _, act = heapq.heappop(self.events)
+            act()
+        self.now_s = end_s
+
+    def run_until(self, holds: Callable[[], bool], limit_s: float) -> bool:
+        """Lets time pass until a condition holds; returns whether it does."""
+        end_s = self.now_s + limit_s
+        while self.now_s < end_s and not holds():
+            self.run(TICK_S)
+        return holds()
+
+    def tick(self, name: str) -> None:
+        """Sends ticks to a process as long as the world exists."""
+        self.at(TICK_S, lambda: self.tick(name))
+        if name in self.paused:
+            return
+        if name in self.members:
+            self.tell_member(name, Tick())
+        elif name in self.hosts:
+            self.tell_host(name, Tick())
+
+    def send(self, source: str, target: str, act: Callable[[], None]) -> None:
+        """Delivers to a process, unless the network or a crash prevents it."""
+        is_cut = frozenset((source, target)) in self.cuts
+        if is_cut or self.random.random() < self.loss:
+            return
+        delay_s = self.random.uniform(0.001, self.delay_s)
+        self.at(delay_s, lambda: self.arrive(target, act))
+
+    def arrive(self, target: str, act: Callable[[], None]) -> None:
+        """Runs an act at a process, after its pause if it is paused."""
+        if target in self.paused:
+            self.paused[target].append(act)
+            return
+        act()
+
+    def pause(self, name: str) -> None:
+        """Stops a process that does not notice it."""
+        self.paused.setdefault(name, [])
+
+    def resume(self, name: str) -> None:
+        """Lets a process go on with the messages that came meanwhile."""
+        for act in self.paused.pop(name, []):
+            act()
+
+    def tell_host(self, host: str, message: Any) -> None:
+        """Passes a message to a host and its answers on."""
+        state = self.hosts.get(host)
+        if state is None:
+            return
+        for outgoing in failover.decide(message, state, self.now_s):
+            match outgoing:
+                case tasks.ToStore():
+                    self.send_to_store(host, outgoing.message)
+                case tasks.ToHost():
+                    self.send_announcement(host, outgoing)
+                case tasks.ToEndpoint():
+                    self.call(host, outgoing.endpoint, outgoing.message)
+
+    def send_announcement(self, host: str, outgoing: tasks.ToHost) -> None:
+        """Sends a message to another host."""
+        target, message = outgoing
+        self.send(host, target, lambda: self.tell_host(target, message))
+
+    def send_to_store(self, host: str, message: Any) -> None:
+        """Sends a request to the table and its answer back."""
+        incarnation = self.hosts[host]['incarnation']
+
+        def act() -> None:
+            result = self.execute_store(message)
+            if self.store_loses_answers:
+                return
+            self.send(STORE, host, lambda: self.back(host, incarnation, result))
+
+        self.send(host, STORE, lambda: self.at(self.store_delay_s, act))
+
+    def execute_store(self, message: Any) -> Any:
+        """Reads the row or writes it by compare-and-set."""
+        if isinstance(message, platform.ReadRows):
+            return platform.RowsRead((self.row,))
+        committed = message.conditions[0].version == self.row.version
+        if committed:
+            content = message.writes[0].content
+            version = self.row.version + 1
+            self.row = platform.Row(self.row.key, version, content)
+        return platform.CommitResult(committed, (self.row,), self.now_s)
+
+    def back(self, host: str, incarnation: int, message: Any) -> None:
+        """Passes an answer to a host that has not restarted meanwhile."""
+        state = self.hosts.get(host)
+        if state is not None and state['incarnation'] == incarnation:
+            self.tell_host(host, message)
+
+    def call(self, host: str, member: str, call: calls.CallEndpoint) -> None:
+        """Calls a member for a host; silence counts as lost."""
+        incarnation = self.hosts[host]['incarnation']
+        done: list[bool] = []
+
+        def finish(body: Any, *, lost: bool = False) -> None:
+            if done:
+                return
+            done.append(True)
+            answered = calls.EndpointAnswered(call.call_id, member, lost, body)
+            self.back(host, incarnation, answered)
+
+        def lose() -> None:
+            self.arrive(host, lambda: finish(schema.MemberStatus(), lost=True))
+
+        self.at(call.timeout_s, lose)
+        self.ask_member(host, member, call.body, finish)
+
+    def ask_member(
+        self,
+        source: str,
+        member: str,
+        body: Any,
+        answered: Callable[[Any], None],
+    ) -> None:
+        """Sends a request to a member and its answer back."""
+        request_id = str(next(self.numbers))
+
+        def reply(message: Any) -> None:
+            self.send(member, source, lambda: answered(message))
+
+        def act() -> None:
+            self.replies[request_id] = reply
+            message = schema.MemberCall(request_id, source, 0, body)
+            self.tell_member(member, message)
+
+        self.send(source, member, act)
+
+    def tell_member(self, name: str, message: Any) -> None:
+        """Passes a message to a member and its answers on."""
+        state = self.members[name]
+        adopted = state['adopted_term']
+        outgoings = replication.decide(message, state, self.now_s)
+        if state['adopted_term'] > adopted:
+            event = (next(self.numbers), name, state['adopted_term'])
+            self.adoptions.append(event)
+        self.check_primary(name)
+        for outgoing in outgoings:
+            match outgoing:
+                case tasks.Reply():
+                    self.note_execution(outgoing.message)
+                    reply = self.replies.pop(outgoing.request_id)
+                    reply(outgoing.message)
+                case tasks.ToEndpoint():
+                    self.replicate(name, outgoing.endpoint, outgoing.message)
+
+    def replicate(self, name: str, target: str, message: Any) -> None:
+        """Sends log entries from one member to another."""
+
+        def answered(answer: Any) -> None:
+            self.tell_member(
+                name, schema.ReplicateAnswered(target, answer=answer)
+            )
+
+        self.ask_member(name, target, message, answered)
+
+    def write(self, host: str, request_id: str) -> None:
+        """Lets a host execute a recorded write and confirm it."""
+        state = self.hosts.get(host)
+        if state is None or not state['primary'] or host in self.paused:
+            return
+        primary = state['primary']
+        statement = schema.Execute(
+            request_id=request_id,
+            workspace='w',
+            term=state['term'],
+            text='ADD n 1',
+            write=True,
+            record=True,
+        )
+
+        def answered(answer: schema.MemberAnswer) -> None:
+            if not answer.refused:
+                self.confirm(host, primary, answer)
+
+        self.ask_member(host, primary, statement, answered)
+
+    def note_execution(self, message: Any) -> None:
+        """Notes when a primary first reported a write as executed."""
+        if isinstance(message, schema.MemberAnswer) and not message.refused:
+            written = Written(message.request_id, message.position)
+            self.executions.setdefault(written, next(self.numbers))
+
+    def confirm(
+        self,
+        host: str,
+        primary: str,
+        answer: schema.MemberAnswer,
+    ) -> None:
+        """Acknowledges a write by the rule of ``majorities``."""
+        confirmations: dict[str, schema.Confirmed] = {}
+
+        def judge() -> None:
+            if majorities.is_acknowledged(
+                answer.position,
+                primary,
+                confirmations,
+                MEMBERS,
+            ):
+                self.acknowledge(answer)
+
+        def ask(member: str) -> None:
+            def confirmed(message: schema.Confirmed) -> None:
+                confirmations[member] = message
+                judge()
+
+            body = schema.Confirm(answer.position, CONFIRM_WAIT_S)
+            self.ask_member(host, member, body, confirmed)
+
+        judge()
+        for member in MEMBERS:
+            if member != primary:
+                ask(member)
+
+    def acknowledge(self, answer: schema.MemberAnswer) -> None:
+        """Notes an acknowledged write; every later primary must have it."""
+        written = Written(answer.request_id, answer.position)
+        if written in self.acknowledged:
+            return
+        self.acknowledged.append(written)
+        self.acknowledged_s = self.now_s
+        for term, name in self.primaries.items():
+            if term > written.position.term:
+                self.check_written(name, written)
+        self.check_superseded(written)
+
+    def check_primary(self, name: str) -> None:
+        """Checks a member that was promoted."""
+        state = self.members[name]
+        term = state['adopted_term']
+        if state['role'] is not schema.Role.PRIMARY:
+            return
+        known = self.primaries.setdefault(term, name)
+        assert known == name, f'{known} and {name} lead term {term}'
+        for written in self.acknowledged:
+            if written.position.term <= term:
+                self.check_written(name, written)
+        table = state['database']['tables'].get('w', {})
+        recorded = len(state['database']['recorded'])
+        assert int(table.get('n', '0')) == recorded, 'a write ran twice'
+
+    def check_written(self, name: str, written: Written) -> None:
+        """Checks that a primary has an acknowledged write."""
+        log = self.members[name]['database']
+        found = database.find_recorded(log, 'w', written.request_id)
+        assert found is not None, f'{name} has lost {written}'
+        assert database.holds(log, written.position), f'{name} lost {written}'
+
+    def check_superseded(self, written: Written) -> None:
+        """Checks that no majority had left the term before the write ran."""
+        executed = self.executions[written]
+        left = {
+            name
+            for number, name, term in self.adoptions
+            if number < executed and term > written.position.term
+        }
+        assert len(left) < majorities.count_majority(len(MEMBERS)), (
+            f'{written} was acknowledged by a superseded primary'
+        )
--- /dev/null
+++ b/tests/test_failover.py
@@ -0,0 +1,278 @@
+"""Guards the change of a primary against lost writes and two primaries."""
+
+import os
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from poplarspoke import majorities
+from poplarspoke.generated.common import Position
+from poplarspoke.generated.failover import AvoidEndpoints, FailoverReason
+from poplarspoke.generated.members import Confirmed
+from tests.failover_world import HOSTS, MEMBERS, STORE, World
+
+LIMIT_S = 5.0
+PLACES = (*MEMBERS, *HOSTS, STORE)
+
+
+def start_world(seed: int = 0) -> World:
+    """Returns a world in which every host knows the first primary."""
+    world = World(seed)
+    assert world.run_until(lambda: knows_primary(world), LIMIT_S)
+    world.run(1)
+    return world
+
+
+def knows_primary(world: World) -> bool:
+    """Returns whether every host knows the latest primary."""
+    if not world.primaries:
+        return False
+    last = world.primaries[max(world.primaries)]
+    return all(state['primary'] == last for state in world.hosts.values())
+
+
+def write_until_acknowledged(
+    world: World,
+    request_id: str,
+    limit_s: float,
+) -> bool:
+    """Repeats a write on every host until one of them acknowledges it."""
+    end_s = world.now_s + limit_s
+    known = len(world.acknowledged)
+    while world.now_s < end_s and len(world.acknowledged) == known:
+        for host in HOSTS:
+            world.write(host, request_id)
+        world.run(0.1)
+    return len(world.acknowledged) > known
+
+
+def isolate(world: World, name: str, others: tuple[str, ...]) -> None:
+    """Cuts a process off from others."""
+    world.cuts.update(frozenset((name, other)) for other in others)
+
+
+@pytest.mark.parametrize('store_delay_s', [0.01, 1.0, 1000.0])
+@pytest.mark.parametrize('lost_hosts', [(), ('h1',), ('h1', 'h2')])
+@pytest.mark.parametrize('seed', range(3))
+def test_primary_lost_within_limit(
+    seed: int,
+    lost_hosts: tuple[str, ...],
+    store_delay_s: float,
+) -> None:
+    """A gap over 5 s, also with the store slow or down and hosts dead."""
+    world = start_world(seed)
+    assert write_until_acknowledged(world, 'before', LIMIT_S)
+    world.store_delay_s = store_delay_s
+    for host in lost_hosts:
+        world.hosts.pop(host)
+    world.pause(world.primaries[max(world.primaries)])
+    assert write_until_acknowledged(world, 'after', LIMIT_S)
+    assert len(world.primaries) == 2
+
+
+def test_cut_off_primary_acknowledges_nothing() -> None:
+    """A superseded primary whose host still reaches it must not be believed."""
+    world = start_world()
+    old = world.primaries[1]
+    others = tuple(name for name in PLACES if name not in {old, 'h3'})
+    isolate(world, old, others)
+    isolate(world, 'h3', others)
+    world.write('h3', 'minority')
+    assert write_until_acknowledged(world, 'majority', LIMIT_S)
+    world.run(LIMIT_S)
+    assert [written.request_id for written in world.acknowledged] == [
+        'majority',
+    ]
+    world.cuts.clear()
+    assert write_until_acknowledged(world, 'minority', LIMIT_S)
+    assert len(world.primaries) == 2
+
+
+def test_one_host_without_the_primary_changes_nothing() -> None:
+    """A fault of one host's network must not depose a healthy primary."""
+    world = start_world()
+    isolate(world, world.primaries[1], HOSTS)
+    world.run(10)
+    assert len(world.primaries) == 1
+
+
+@pytest.mark.parametrize('paused_at_s', [step / 20 for step in range(12)])
+def test_paused_candidate_wakes_at_any_step(paused_at_s: float) -> None:
+    """A candidate that wakes in an old step must not depose the primary."""
+    world = start_world()
+    old = world.primaries[1]
+    world.pause(old)
+    assert world.run_until(lambda: bool(world.hosts['h1']['attempt']), LIMIT_S)
+    world.delay_s = 0.15
+    world.run(paused_at_s)
+    world.pause('h1')
+    assert write_until_acknowledged(world, 'during', LIMIT_S)
+    terms = max(world.primaries)
+    world.resume('h1')
+    world.resume(old)
+    world.run(LIMIT_S)
+    assert max(world.primaries) == terms
+    assert write_until_acknowledged(world, 'after', LIMIT_S)
+
+
+def test_drain_hands_the_primary_over() -> None:
+    """A planned handover must end outside of the zone and keep every write."""
+    world = start_world()
+    old = world.primaries[1]
+    for number in range(5):
+        assert write_until_acknowledged(world, f'w{number}', LIMIT_S)
+    avoided = AvoidEndpoints((old,), 'zone za is out of service since v7')
+    for host in HOSTS:
+        world.tell_host(host, avoided)
+    assert world.run_until(lambda: len(world.primaries) > 1, 1)
+    assert world.primaries[max(world.primaries)] != old
+    assert write_until_acknowledged(world, 'after', 1)
+    event = world.hosts['h1']['events'][-2]
+    assert event.act == f'begin {FailoverReason.DRAIN.name}'
+    assert event.evidence == avoided.evidence
+
+
+def test_barred_member_gets_a_primary_again() -> None:
+    """A candidate that dies after one grant must not bar a member for ever."""
+    world = start_world()
+    isolate(world, 'm3', tuple(name for name in PLACES if name != 'h1'))
+    world.run(0.5)
+    world.hosts['h1']['highest_term'] = 9
+    world.members['m3']['adopted_term'] = 9
+    world.members['m3']['primary'] = ''
+    world.cuts.clear()
+    world.run(LIMIT_S + LIMIT_S)
+    assert {state['adopted_term'] for state in world.members.values()} == {10}
+
+
+def test_acknowledgement_needs_a_majority_in_the_term() -> None:
+    """A confirmation of another term or another group must not count."""
+    position = Position(3, 7)
+    for confirmed, endpoint, expected in (
+        (Confirmed(confirmed=True, adopted_term=3), 'm2', True),
+        (Confirmed(confirmed=True, adopted_term=4), 'm2', False),
+        (Confirmed(confirmed=False, adopted_term=3), 'm2', False),
+        (Confirmed(confirmed=True, adopted_term=3), 'm1', False),
+        (Confirmed(confirmed=True, adopted_term=3), 'other', False),
+    ):
+        confirmations = {endpoint: confirmed}
+        acknowledged = majorities.is_acknowledged(
+            position,
+            'm1',
+            confirmations,
+            MEMBERS,
+        )
+        assert acknowledged is expected
+
+
+def test_highest_log_of_a_majority_is_promoted() -> None:
+    """Promoting a lower log, or without a majority, would lose writes."""
+    grants = {'m1': Position(2, 5), 'm2': Position(3, 1)}
+    assert majorities.select_primary(grants, (), 3) == 'm2'
+    assert majorities.select_primary(grants, ('m2',), 3) == 'm2'
+    assert not majorities.select_primary({'m1': Position(2, 5)}, (), 3)
+    staying = {**grants, 'm3': Position(2, 6)}
+    assert majorities.select_primary(staying, ('m2',), 3) == 'm3'
+
+
+class FailoverMachine(RuleBasedStateMachine):
+    """Random faults; ``World`` checks the invariants."""
+
+    def __init__(self) -> None:
+        """Starts a world with a primary."""
+        super().__init__()
+        self.world = start_world()
+        self.written = 0
+
+    @rule(seconds=st.sampled_from((0.05, 0.3, 1.0, 3.0)))
+    def run(self, seconds: float) -> None:
+        """Lets time pass."""
+        self.world.run(seconds)
+
+    @rule(host=st.sampled_from(HOSTS), back=st.integers(0, 3))
+    def write(self, host: str, back: int) -> None:
+        """Writes anew or repeats one of the latest writes."""
+        if back == 0:
+            self.written += 1
+        self.world.write(host, f'w{max(self.written - back, 0)}')
+
+    @rule(pair=st.sampled_from([(a, b) for a in PLACES for b in PLACES]))
+    def cut(self, pair: tuple[str, str]) -> None:
+        """Cuts two processes off from each other."""
+        self.world.cuts.add(frozenset(pair))
+
+    @rule(name=st.sampled_from(MEMBERS), hosts=st.sets(st.sampled_from(HOSTS)))
+    def cut_zone(self, name: str, hosts: set[str]) -> None:
+        """Cuts a member and some hosts off from everything else."""
+        inside = {name, *hosts}
+        outside = tuple(place for place in PLACES if place not in inside)
+        for place in inside:
+            isolate(self.world, place, outside)
+
+    @rule()
+    def heal(self) -> None:
+        """Joins the network again."""
+        self.world.cuts.clear()
+        self.world.loss = 0.0
+        self.world.delay_s = 0.02
+
+    @rule(loss=st.sampled_from((0.1, 0.3)), delay_s=st.sampled_from((0.2, 2.0)))
+    def disturb(self, loss: float, delay_s: float) -> None:
+        """Loses, delays and reorders messages."""
+        self.world.loss = loss
+        self.world.delay_s = delay_s
+
+    @rule(host=st.sampled_from(HOSTS))
+    def restart(self, host: str) -> None:
+        """Crashes a daemon and starts it again."""
+        self.world.restart(host)
+
+    @rule(name=st.sampled_from((*HOSTS, *MEMBERS)))
+    def pause(self, name: str) -> None:
+        """Pauses a process."""
+        self.world.pause(name)
+
+    @rule(name=st.sampled_from((*HOSTS, *MEMBERS)))
+    def resume(self, name: str) -> None:
+        """Wakes a process."""
+        self.world.resume(name)
+
+    @rule(delay_s=st.sampled_from((0.01, 1.0, 1000.0)), lose=st.booleans())
+    def change_store(self, delay_s: float, lose: bool) -> None:
+        """Makes the table fast, slow or unavailable."""
+        self.world.store_delay_s = delay_s
+        self.world.store_loses_answers = lose
+
+    @rule(endpoints=st.sets(st.sampled_from(MEMBERS), max_size=2))
+    def drain(self, endpoints: set[str]) -> None:
+        """Takes endpoints out of service."""
+        message = AvoidEndpoints(tuple(endpoints), 'settings')
+        for host in self.world.hosts:
+            self.world.tell_host(host, message)
+
+    @invariant()
+    def one_primary_of_the_last_term(self) -> None:
+        """A term has one primary; the world asserts the rest."""
+        for name in MEMBERS:
+            self.world.check_primary(name)
+
+    def teardown(self) -> None:
+        """Without faults, the group must serve writes again."""
+        self.heal()
+        self.change_store(0.01, lose=False)
+        self.drain(set())
+        for name in list(self.world.paused):
+            self.world.resume(name)
+        self.world.run(LIMIT_S)
+        assert write_until_acknowledged(self.world, 'last', LIMIT_S)
+
+
+LONG = bool(os.environ.get('SOAK'))
+FailoverMachine.TestCase.settings = settings(
+    max_examples=2000 if LONG else 40,
+    stateful_step_count=40,
+    deadline=None,
+)
+TestFailover = FailoverMachine.TestCase
