--- a/poplarspoke/schema/peers.capnp
+++ b/poplarspoke/schema/peers.capnp
@@ -4,6 +4,7 @@
 using Rates = import "rates.capnp";
 using Membership = import "membership.capnp";
 using Configuration = import "configuration.capnp";
+using Failover = import "failover.capnp";
 
 struct Hello {
   # First frame on a link; proves knowledge of the peer secret.
@@ -26,5 +27,6 @@
     settingsSnapshot @8 :Configuration.SettingsSnapshot;
     promiseLease @9 :Rates.PromiseLease;
     leasePromised @10 :Rates.LeasePromised;
+    primaryAnnounced @11 :Failover.PrimaryAnnounced;
   }
 }
