--- a/poplarspoke/schema/failover.capnp
+++ b/poplarspoke/schema/failover.capnp
@@ -30,6 +30,7 @@
     adopt @4 :Members.Adopt;
     promote @5 :Members.Promote;
     follow @6 :Members.Follow;
+    confirm @7 :Members.Confirm;
   }
 }
 
@@ -41,6 +42,7 @@
   union {
     memberStatus @3 :Members.MemberStatus;
     adopted @4 :Members.Adopted;
+    confirmed @5 :Members.Confirmed;
   }
 }
 
--- a/poplarspoke/schema/requests.capnp
+++ b/poplarspoke/schema/requests.capnp
@@ -56,6 +56,8 @@
   maxAgeS @11 :Float64;  # Tolerated staleness in seconds.
   budgetS @12 :Float64;  # Seconds until the deadline.
   endpoint @13 :Text;  # Endpoint that routing picked.
+  term @14 :UInt64;  # Term of the primary that the sender knows.
+  confirm @15 :Bool;  # A majority must confirm the position first.
 }
 
 struct StatementResult {
