--- a/poplarspoke/commits.py
+++ b/poplarspoke/commits.py
@@ -124,10 +124,7 @@
     recorded = records.read_record(answer.rows[change_row])
     if recorded.version:
         return _answer_recorded(step, state, recorded)
-    base_version = (
-        step.change.base_version or answer.rows[records.HEAD_KEY].version
-    )
-    if base_version != state['snapshot'].version:
+    if _get_base(step, answer) != state['snapshot'].version:
         return _answer_loser(step, state)
     try:
         commit = _create_commit(step, state, answer.message.now_s)
--- a/poplarspoke/keys.py
+++ b/poplarspoke/keys.py
@@ -33,7 +33,7 @@
 MIN_SECRET_CHARACTERS = 22  # 128 bits in base64.
 KEY = re.compile('pk_([A-Za-z0-9]{1,32})_([A-Za-z0-9_-]{22,128})')
 # An unknown key is compared too, so that the time tells nothing.
-NO_DIGEST = '0' * 64
+NO_DIGEST = 'unknown'.ljust(hashlib.sha256().digest_size * 2)
 
 
 class RouteName(NamedTuple):
@@ -209,7 +209,7 @@
     if not _is_fresh(state, now_s):
         return _refuse_unknown(message, 'the settings are not confirmed')
     record = _find_record(message, state)
-    if record.workspace != message.workspace:
+    if record is None or record.workspace != message.workspace:
         return KeyRefused(
             message.request_id,
             reason='the key is not one of this workspace',
@@ -226,14 +226,14 @@
     return accepted
 
 
-def _find_record(message: CheckKey, state: KeysState) -> KeyRecord:
-    """Returns the record of the key that was sent; empty if there is none."""
+def _find_record(message: CheckKey, state: KeysState) -> KeyRecord | None:
+    """Returns the record of the key that was sent, None for a wrong key."""
     found = KEY.fullmatch(message.key)
     key_id = found.group(1) if found else ''
     record = state['records'].get(key_id, KeyRecord(digest=NO_DIGEST))
     if hmac.compare_digest(record.digest, digest_key(message.key)):
         return record
-    return KeyRecord()
+    return None
 
 
 def _refuse_unknown(message: CheckKey, reason: str) -> KeyRefused:
