--- /dev/null
+++ b/poplarspoke/execution.py
@@ -0,0 +1,256 @@
+"""Runs statements on the endpoints that this host owns.
+
+A statement gets a slot from the fair queue, then a clean connection, then its
+answer, and a write or a strict read waits for a majority of members.
+"""
+
+import itertools
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple, TypeAlias
+
+from poplarspoke import errors, web
+from poplarspoke.generated.acknowledgements import (
+    AwaitMajority,
+    MajorityMissed,
+)
+from poplarspoke.generated.common import ErrorCode, Outcome, Refusal
+from poplarspoke.generated.connections import (
+    Acquire,
+    ConnectionLent,
+    EndExchange,
+    ExchangeEnded,
+    Release,
+    StartExchange,
+)
+from poplarspoke.generated.members import Execute, MemberAnswer
+from poplarspoke.generated.queues import Enqueue, Finish, SlotGranted
+from poplarspoke.generated.requests import (
+    Repeat,
+    Statement,
+    StatementResult,
+)
+from poplarspoke.sockets import EndpointSockets
+from poplarspoke.tasks import Task
+
+# Part of the caller's time that is kept for the way back.
+RETURN_S = 0.02
+
+
+class EndpointUnit(NamedTuple):
+    """The tasks that serve one endpoint on its owner.
+
+    Attributes:
+        endpoint: Name of the endpoint.
+        database: Its database.
+        queue: Fair queue before its slots.
+        pool: Its connection pool.
+        sockets: Owner of its sockets.
+        acknowledgements: Majority confirmations of the database.
+    """
+
+    endpoint: str
+    database: str
+    queue: Task
+    pool: Task
+    sockets: EndpointSockets
+    acknowledgements: Task
+
+
+FindUnit: TypeAlias = Callable[[Statement], Awaitable[EndpointUnit | None]]
+
+
+class Executor:
+    """Runs statements for one daemon."""
+
+    def __init__(
+        self,
+        host: str,
+        find_unit: FindUnit,
+        now_s: Callable[[], float],
+    ) -> None:
+        """Takes the host's name, the lookup of units and the clock."""
+        self._host = host
+        self._find_unit = find_unit
+        self._now_s = now_s
+        self._numbers = itertools.count(1)
+
+    async def run(self, statement: Statement) -> StatementResult:
+        """Returns the result of a statement, or its refusal."""
+        until_s = self._now_s() + statement.budget_s - RETURN_S
+        unit = await self._find_unit(statement)
+        if unit is None:
+            refusal = errors.refuse(
+                ErrorCode.NO_ENDPOINT,
+                f'endpoint {statement.endpoint!r} is not in the settings',
+            )
+            return refuse_result(statement, refusal)
+        try:
+            return await self._run_in_slot(statement, unit, until_s)
+        except errors.PoplarspokeError as exc:
+            return refuse_result(statement, errors.refuse_from(exc))
+
+    async def _run_in_slot(
+        self,
+        statement: Statement,
+        unit: EndpointUnit,
+        until_s: float,
+    ) -> StatementResult:
+        attempt = self.name_attempt()
+        budget_s = until_s - self._now_s()
+        granted = await unit.queue.ask(
+            Enqueue(attempt, statement.workspace, budget_s),
+            timeout_s=budget_s,
+        )
+        if not isinstance(granted, SlotGranted):
+            return refuse_result(statement, granted.refusal)
+        try:
+            answer = await self._run_on_connection(statement, unit, until_s)
+        finally:
+            unit.queue.post(Finish(attempt))
+        if answer.refused:
+            return refuse_result(statement, answer.refusal)
+        return await self.confirm(statement, unit, answer, until_s)
+
+    async def _run_on_connection(
+        self,
+        statement: Statement,
+        unit: EndpointUnit,
+        until_s: float,
+    ) -> MemberAnswer:
+        holder = self.name_attempt()
+        lent = await unit.pool.ask(
+            Acquire(
+                holder,
+                statement.workspace,
+                budget_s=until_s - self._now_s(),
+            ),
+            timeout_s=until_s - self._now_s(),
+        )
+        if not isinstance(lent, ConnectionLent):
+            return MemberAnswer(refused=True, refusal=lent.refusal)
+        execute = build_execute(statement)
+        try:
+            return await self.exchange(
+                unit, lent.connection, holder, execute, until_s
+            )
+        finally:
+            unit.pool.post(Release(lent.connection, holder))
+
+    async def exchange(
+        self,
+        unit: EndpointUnit,
+        connection: int,
+        holder: str,
+        message: Any,
+        until_s: float,
+    ) -> MemberAnswer:
+        """Sends a message on a connection and returns its checked answer.
+
+        Raises:
+            web.AnswerLostError: No whole answer to this message came.
+            errors.RefusedError: The endpoint refused the message.
+        """
+        timeout_s = until_s - self._now_s()
+        request_id = message.request_id
+        unit.pool.post(
+            StartExchange(connection, holder, request_id, timeout_s),
+        )
+        answer: MemberAnswer = await unit.sockets.exchange(
+            connection,
+            message,
+            timeout_s=timeout_s,
+        )
+        ended = await unit.pool.ask(
+            EndExchange(request_id, connection, answer.request_id, clean=True),
+            timeout_s=timeout_s,
+        )
+        if isinstance(ended, ExchangeEnded) and ended.accepted:
+            return answer
+        raise web.AnswerLostError('a late answer to another request came')
+
+    async def confirm(
+        self,
+        statement: Statement,
+        unit: EndpointUnit,
+        answer: MemberAnswer,
+        until_s: float,
+    ) -> StatementResult:
+        """Returns the result once a majority has confirmed its position."""
+        if not statement.confirm:
+            return build_result(statement, answer, answer.age_s)
+        attempt = self.name_attempt()
+        budget_s = max(until_s - self._now_s(), 0)
+        reply = await unit.acknowledgements.ask(
+            AwaitMajority(
+                attempt,
+                unit.endpoint,
+                answer.position,
+                budget_s,
+            ),
+            timeout_s=budget_s + RETURN_S,
+        )
+        if isinstance(reply, MajorityMissed):
+            return refuse_result(statement, _refuse_missed(statement, reply))
+        return build_result(statement, answer, 0)
+
+    def name_attempt(self) -> str:
+        """Returns an id that no other attempt of this daemon has."""
+        return f'{self._host}.{next(self._numbers)}'
+
+
+def build_execute(statement: Statement) -> Execute:
+    """Returns the message that runs a statement on an endpoint."""
+    return Execute(
+        request_id=statement.request_id,
+        workspace=statement.workspace,
+        term=statement.term if statement.write else 0,
+        text=statement.text,
+        parameters=statement.parameters,
+        write=statement.write,
+        record=statement.write and statement.repeat is not Repeat.SAFE,
+    )
+
+
+def build_result(
+    statement: Statement,
+    answer: MemberAnswer,
+    age_s: float,
+) -> StatementResult:
+    """Returns the result that carries an endpoint's answer."""
+    return StatementResult(
+        request_id=statement.request_id,
+        endpoint=statement.endpoint,
+        position=answer.position,
+        age_s=age_s,
+        rows=answer.rows,
+        repeated=answer.repeated,
+        replica=not statement.write and not statement.confirm,
+        transaction=statement.transaction,
+        queued=answer.queued,
+    )
+
+
+def refuse_result(statement: Statement, refusal: Refusal) -> StatementResult:
+    """Returns the result of a statement that was refused or is unknown."""
+    return StatementResult(
+        request_id=statement.request_id,
+        endpoint=statement.endpoint,
+        transaction=statement.transaction,
+        refused=True,
+        refusal=refusal,
+    )
+
+
+def _refuse_missed(statement: Statement, reply: MajorityMissed) -> Refusal:
+    if statement.write:
+        return errors.refuse(
+            ErrorCode.OUTCOME_UNKNOWN,
+            'no majority of members confirmed the write',
+            outcome=Outcome.UNKNOWN,
+        )
+    return errors.refuse(
+        ErrorCode.NOT_PRIMARY,
+        'no majority of members confirmed the primary; '
+        f'highest term {reply.adopted_term}',
+        outcome=Outcome.FAILED,
+    )
--- a/poplarspoke/schema/requests.capnp
+++ b/poplarspoke/schema/requests.capnp
@@ -72,6 +72,7 @@
   transaction @7 :Text;
   refusal @8 :Common.Refusal;
   refused @9 :Bool;
+  queued @10 :UInt32;  # Statements that waited for a slot of the endpoint.
 }
 
 struct CallerAnswer {
