--- /dev/null
+++ b/poplarspoke/files.py
@@ -0,0 +1,327 @@
+"""Reads settings files and reports exactly what is wrong in them.
+
+``yaml`` and ``jsonschema`` are imported at the first use, since a running
+daemon does not need them and has 32 MB for control.
+"""
+
+import difflib
+import functools
+import importlib
+import ipaddress
+import json
+import pathlib
+from collections.abc import Iterable, Iterator
+from typing import Any, NamedTuple
+
+from poplarspoke import codec, errors
+from poplarspoke.generated.daemon import DaemonSettings
+from poplarspoke.generated.settings import Document
+
+MAX_FILE_BYTES = 8388608
+MAX_SHOWN_CHARACTERS = 80
+MAX_NAMES_SHOWN = 12
+MAX_PORT = 65535
+SUFFIXES = frozenset(('.yaml', '.yml'))
+SECRET_PARTS = frozenset(('secrets', 'digest'))
+DAEMON_SCHEMA = 'daemon'
+DOCUMENT_SCHEMA = 'settings'
+
+
+class Fault(NamedTuple):
+    """One thing that is wrong in a settings file.
+
+    Attributes:
+        file: Name of the file.
+        path: Path inside the file, such as ``teams/tills/workspaces``.
+        found: What stands there, without secrets.
+        allowed: What may stand there.
+        nearest: Known name that resembles what was found, empty if none does.
+        remedy: What to do.
+    """
+
+    file: str
+    path: str
+    found: str
+    allowed: str
+    nearest: str = ''
+    remedy: str = 'correct the value'
+
+
+def load_daemon(path: str) -> DaemonSettings:
+    """Returns the settings of a daemon process.
+
+    Args:
+        path: Path of a YAML file with the schema ``daemon.json``.
+
+    Raises:
+        errors.SettingsError: The file is missing or wrong.
+    """
+    source = _read_file(pathlib.Path(path))
+    _raise_faults(find_faults(DAEMON_SCHEMA, source, path))
+    _raise_faults(_find_address_faults(source, path, ''))
+    settings: DaemonSettings = source
+    return settings
+
+
+def load_document(path: str) -> Document:
+    """Returns a settings document.
+
+    Args:
+        path: Path of a YAML file, or of a directory whose YAML files are
+            merged; no two files may set the same value.
+
+    Raises:
+        errors.SettingsError: A file is missing or wrong.
+    """
+    origin = pathlib.Path(path)
+    files = [origin]
+    if origin.is_dir():
+        files = sorted(
+            file for file in origin.rglob('*') if file.suffix in SUFFIXES
+        )
+    if not files:
+        raise errors.SettingsError(
+            f'{path}: no YAML file; add a file that ends in .yaml',
+        )
+    merged: dict[str, Any] = {}
+    for file in files:
+        source = _read_file(file)
+        if not isinstance(source, dict):
+            _raise_faults(find_faults(DOCUMENT_SCHEMA, source, str(file)))
+            continue
+        _merge(merged, source, str(file), '')
+    _raise_faults(find_faults(DOCUMENT_SCHEMA, merged, path))
+    _raise_faults(_find_address_faults(merged, path, ''))
+    document: Document = merged  # type: ignore[assignment]
+    return document
+
+
+def find_faults(schema: str, source: Any, file: str) -> list[Fault]:
+    """Returns everything in plain data that breaks a schema.
+
+    Args:
+        schema: Name of a JSON schema of this package.
+        source: Plain data.
+        file: Name of the file, for the faults.
+    """
+    validator = _load_validator(schema)
+    found = sorted(
+        validator.iter_errors(source),
+        key=lambda error: [str(part) for part in error.absolute_path],
+    )
+    return [_describe(error, file) for error in found]
+
+
+def format_fault(fault: Fault) -> str:
+    """Returns a fault as one line for an operator."""
+    nearest = f'; did you mean {fault.nearest!r}?' if fault.nearest else ''
+    return (
+        f'{fault.file}: {fault.path or "the whole file"}: '
+        f'found {fault.found}, allowed: {fault.allowed}{nearest}'
+        f'; {fault.remedy}'
+    )
+
+
+def find_nearest(name: str, known: Iterable[str]) -> str:
+    """Returns the known name that resembles a name, empty if none does."""
+    matches = difflib.get_close_matches(name, list(known), n=1)
+    return matches[0] if matches else ''
+
+
+def _raise_faults(faults: list[Fault]) -> None:
+    if not faults:
+        return
+    raise errors.SettingsError('\n'.join(map(format_fault, faults)))
+
+
+def _read_file(path: pathlib.Path) -> Any:
+    try:
+        payload = path.read_bytes()
+    except (OSError, ValueError) as exc:
+        reason = getattr(exc, 'strerror', None) or 'no valid file name'
+        raise errors.SettingsError(
+            f'{path}: {reason}; give a readable YAML file',
+        ) from exc
+    if len(payload) > MAX_FILE_BYTES:
+        raise errors.SettingsError(
+            f'{path}: over {MAX_FILE_BYTES} bytes; split it into several files',
+        )
+    return read_text(payload, str(path))
+
+
+def read_text(payload: bytes, file: str) -> Any:
+    """Returns the plain data of YAML bytes.
+
+    Raises:
+        errors.SettingsError: The bytes are no YAML that settings may use.
+    """
+    try:
+        text = payload.decode()
+    except UnicodeDecodeError as exc:
+        raise errors.SettingsError(
+            f'{file}: byte {exc.start} is no UTF-8; save the file as UTF-8',
+        ) from exc
+    return _import('poplarspoke.yaml_reader').read(text, file)
+
+
+@functools.cache
+def _load_validator(schema: str) -> Any:
+    path = codec.SCHEMA_DIR / f'{schema}.json'
+    return _import('jsonschema').Draft202012Validator(
+        json.loads(path.read_text()),
+    )
+
+
+def _import(name: str) -> Any:
+    return importlib.import_module(name)
+
+
+def _merge(
+    target: dict[str, Any],
+    source: dict[str, Any],
+    file: str,
+    path: str,
+) -> None:
+    for name, entry in source.items():
+        present = target.get(name)
+        if name not in target:
+            target[name] = entry
+            continue
+        if isinstance(present, dict) and isinstance(entry, dict):
+            _merge(present, entry, file, f'{path}{name}/')
+            continue
+        fault = Fault(
+            file,
+            f'{path}{name}',
+            _show(entry, [name]),
+            'one value in all files together',
+            remedy='remove one of the two; another file sets it as well',
+        )
+        _raise_faults([fault])
+
+
+def _find_address_faults(source: Any, file: str, path: str) -> list[Fault]:
+    """Returns the wrong addresses that the pattern of the schema lets by."""
+    if isinstance(source, dict):
+        return [
+            fault
+            for name, entry in source.items()
+            for fault in _find_address_faults(entry, file, f'{path}/{name}')
+        ]
+    parts = path.strip('/').split('/')
+    named = {'callers', 'operators', 'peers', 'platform', 'address'}
+    is_address = parts[-1] in named or parts[0] == 'seeds'
+    if not is_address or not isinstance(source, str):
+        return []
+    if _is_address(source):
+        return []
+    return [
+        Fault(
+            file,
+            path.strip('/'),
+            _show(source, []),
+            f'IP:port with a port from 1 to {MAX_PORT}',
+        ),
+    ]
+
+
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(':')
+    try:
+        ipaddress.ip_address(host.removeprefix('[').removesuffix(']'))
+    except ValueError:
+        return False
+    return port.isdecimal() and 0 < int(port) <= MAX_PORT
+
+
+def _describe(error: Any, file: str) -> Fault:
+    parts = [str(part) for part in error.absolute_path]
+    describe = DESCRIBE.get(error.validator, _describe_other)
+    return describe(error, file, parts)
+
+
+def _describe_unknown(error: Any, file: str, parts: list[str]) -> Fault:
+    known = list(error.schema.get('properties', ()))
+    names = [name for name in error.instance if name not in known]
+    return Fault(
+        file,
+        '/'.join((*parts, names[0])),
+        f'unknown name {_show(names[0], [])}',
+        _list_names(known),
+        find_nearest(names[0], known),
+        'use a known name or remove it',
+    )
+
+
+def _describe_missing(error: Any, file: str, parts: list[str]) -> Fault:
+    missing = [
+        name for name in error.validator_value if name not in error.instance
+    ]
+    return Fault(
+        file,
+        '/'.join(parts),
+        f'no {", ".join(missing)}',
+        f'all of {_list_names(error.validator_value)}',
+        remedy=f'add {", ".join(missing)}',
+    )
+
+
+def _describe_choice(error: Any, file: str, parts: list[str]) -> Fault:
+    allowed = [str(choice) for choice in error.validator_value]
+    return Fault(
+        file,
+        '/'.join(parts),
+        _show(error.instance, parts),
+        f'one of {_list_names(allowed)}',
+        find_nearest(str(error.instance), allowed),
+    )
+
+
+def _describe_other(error: Any, file: str, parts: list[str]) -> Fault:
+    return Fault(
+        file,
+        '/'.join(parts),
+        _show(error.instance, parts),
+        RULES.get(error.validator, '{0}').format(error.validator_value),
+    )
+
+
+DESCRIBE = {
+    'additionalProperties': _describe_unknown,
+    'required': _describe_missing,
+    'enum': _describe_choice,
+}
+RULES = {
+    'type': 'a value of type {0}',
+    'pattern': 'text that matches {0}',
+    'minLength': 'text of at least {0} characters',
+    'minimum': 'a number of at least {0}',
+    'maximum': 'a number of at most {0}',
+    'exclusiveMinimum': 'a number over {0}',
+}
+
+
+def _list_names(names: Iterable[str]) -> str:
+    listed = list(names)
+    if len(listed) <= MAX_NAMES_SHOWN:
+        return ', '.join(listed)
+    return f'{", ".join(listed[:MAX_NAMES_SHOWN])}, ...'
+
+
+def _show(found: Any, parts: Iterable[str]) -> str:
+    """Returns a value as text; never one that may be a secret."""
+    if SECRET_PARTS.intersection(parts):
+        return 'a secret that is not shown'
+    shown = json.dumps(found, default=str)
+    if len(shown) > MAX_SHOWN_CHARACTERS:
+        return f'{shown[:MAX_SHOWN_CHARACTERS]}...'
+    return shown
+
+
+def list_paths(source: Any, path: str = '') -> Iterator[tuple[str, Any]]:
+    """Yields path and value of every leaf of plain data."""
+    if not isinstance(source, dict) or not source:
+        yield path, source
+        return
+    for name, entry in source.items():
+        yield from list_paths(entry, f'{path}/{name}' if path else name)
--- /dev/null
+++ b/poplarspoke/logs.py
@@ -0,0 +1,206 @@
+"""Structured log with one JSON object a line.
+
+A line has only the fields of ``LogFields``; a field with another name is left
+out and its name is listed. No field is meant for a key, a token, a statement or
+its parameters. Exceptions are written as their type, code and place, since
+their text may quote a caller's values.
+"""
+
+import copy
+import json
+import re
+import traceback
+from collections.abc import Callable, Iterable
+from typing import Any, Self, TextIO, TypedDict, Unpack
+
+import logbook
+
+from poplarspoke import codec
+
+MAX_TEXT_CHARACTERS = 512
+MAX_FRAMES = 6
+MIN_SECRET_CHARACTERS = 8
+REPLACEMENT = '[secret]'
+# Keys are pk_<key id>_<secret>; the id may be shown, the secret may not.
+KEY_PATTERN = re.compile(r'(pk_[^_\s]*_)\S+')
+BEARER_PATTERN = re.compile(r'(?i)(bearer\s+)\S+')
+
+
+class LogFields(TypedDict, total=False):
+    """Names of all fields that a log line may have.
+
+    ``reason`` and ``evidence`` are texts of this program, never of a caller or
+    an endpoint.
+    """
+
+    age_s: float
+    change_id: str
+    code: str
+    connection: int
+    count: int
+    database: str
+    duration_s: float
+    endpoint: str
+    error: str
+    evidence: str
+    frames: list[str]
+    host: str
+    library: str
+    outcome: str
+    path: str
+    peer: str
+    port: int
+    reason: str
+    request_id: str
+    role: str
+    route: str
+    setting: str
+    settings_version: int
+    status: int
+    task: str
+    term: int
+    transaction: str
+    who: str
+    workspace: str
+    zone: str
+
+
+FIELD_NAMES = frozenset(LogFields.__annotations__)
+
+
+class Redactor:
+    """Replaces secrets in texts."""
+
+    def __init__(self, secrets: Iterable[str] = ()) -> None:
+        """Takes the secrets that this process knows."""
+        self._secrets = tuple(
+            secret for secret in secrets if len(secret) >= MIN_SECRET_CHARACTERS
+        )
+
+    def redact(self, text: str) -> str:
+        """Returns the text without keys, bearer tokens and known secrets."""
+        for secret in self._secrets:
+            text = text.replace(secret, REPLACEMENT)
+        text = KEY_PATTERN.sub(rf'\1{REPLACEMENT}', text)
+        return BEARER_PATTERN.sub(rf'\1{REPLACEMENT}', text)
+
+    def redact_all(self, node: Any) -> Any:
+        """Returns plain data with every text in it redacted."""
+        if isinstance(node, str):
+            return self.redact(node)[:MAX_TEXT_CHARACTERS]
+        if isinstance(node, list):
+            return [self.redact_all(entry) for entry in node]
+        if isinstance(node, dict):
+            return {
+                self.redact(str(name)): self.redact_all(entry)
+                for name, entry in node.items()
+            }
+        return node
+
+
+class Log:
+    """Writes events to a stream, one JSON object a line."""
+
+    def __init__(
+        self,
+        stream: TextIO,
+        *,
+        wall_s: Callable[[], float],
+        level: str = 'INFO',
+        secrets: Iterable[str] = (),
+    ) -> None:
+        """Keeps where lines go.
+
+        Args:
+            stream: Stream that the lines are written to.
+            wall_s: Wall clock in seconds since 1970.
+            level: Lowest level that is written.
+            secrets: Texts that must never be written.
+        """
+        self._logger = _JsonLogger(stream, level)
+        self._wall_s = wall_s
+        self._redactor = Redactor(secrets)
+        self._fields = LogFields()
+
+    def bind(self, **fields: Unpack[LogFields]) -> Self:
+        """Returns a log whose lines also have these fields."""
+        bound = copy.copy(self)
+        bound._fields = {**self._fields, **fields}
+        return bound
+
+    def debug(self, event: str, **fields: Unpack[LogFields]) -> None:
+        """Writes an event that helps to follow one request."""
+        self._write(logbook.DEBUG, event, fields)
+
+    def info(self, event: str, **fields: Unpack[LogFields]) -> None:
+        """Writes an event of normal operation."""
+        self._write(logbook.INFO, event, fields)
+
+    def warning(self, event: str, **fields: Unpack[LogFields]) -> None:
+        """Writes an event that operators may have to act on."""
+        self._write(logbook.WARNING, event, fields)
+
+    def error(self, event: str, **fields: Unpack[LogFields]) -> None:
+        """Writes an event that operators have to act on."""
+        self._write(logbook.ERROR, event, fields)
+
+    def failure(
+        self,
+        event: str,
+        exc: BaseException,
+        **fields: Unpack[LogFields],
+    ) -> None:
+        """Writes an error with its type, code and place, without its text."""
+        fields['error'] = type(exc).__name__
+        fields['frames'] = _list_frames(exc)
+        code = getattr(exc, 'code', None)
+        if code is not None:
+            fields['code'] = str(codec.to_object(code))
+        self._write(logbook.ERROR, event, fields)
+
+    def _write(self, level: int, event: str, fields: LogFields) -> None:
+        if level < self._logger.level:
+            return
+        line: dict[str, Any] = {
+            'time_s': round(self._wall_s(), 3),
+            'level': logbook.get_level_name(level),
+            'event': event,
+        }
+        omitted: list[str] = []
+        for name, entry in {**self._fields, **fields}.items():
+            if name not in FIELD_NAMES:
+                omitted.append(name)
+                continue
+            line[name] = entry
+        if omitted:
+            line['omitted'] = sorted(omitted)
+        plain = self._redactor.redact_all(codec.to_object(line))
+        self._logger.log(level, json.dumps(plain, default=_name_type))
+
+
+class _JsonLogger(logbook.Logger):  # type: ignore[misc]
+    """Logger with one handler, independent of logbook's global stack."""
+
+    def __init__(self, stream: TextIO, level: str) -> None:
+        """Creates the handler; the message is already one JSON object."""
+        super().__init__('poplarspoke', logbook.lookup_level(level))
+        self._handler = logbook.StreamHandler(stream, level=self.level)
+        self._handler.format_string = '{record.message}'
+
+    def call_handlers(self, record: logbook.LogRecord) -> None:
+        """Passes a record to the one handler."""
+        self._handler.handle(record)
+
+
+def _name_type(node: object) -> str:
+    """Returns the type's name, since an unknown value may be a secret."""
+    return type(node).__name__
+
+
+def _list_frames(exc: BaseException) -> list[str]:
+    """Returns file, line and function of the innermost frames."""
+    frames = traceback.extract_tb(exc.__traceback__)[-MAX_FRAMES:]
+    return [
+        f'{frame.filename.rpartition("/")[2]}:{frame.lineno} {frame.name}'
+        for frame in frames
+    ]
--- /dev/null
+++ b/tests/test_files.py
@@ -0,0 +1,114 @@
+"""Guards the settings reader: exact errors, no exception but the coded ones."""
+
+import pathlib
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from poplarspoke import errors, files
+
+DAEMON = """
+name: sfax-1
+zone: Sfax
+callers: 127.0.0.1:8080
+operators: 127.0.0.1:8081
+peers: 127.0.0.1:8082
+platform: 127.0.0.1:9000
+secrets:
+  peer: MARKED-peer-secret
+  session: MARKED-session-secret
+  operator: MARKED-operator-secret
+"""
+SCALARS = st.one_of(
+    st.none(), st.booleans(), st.integers(), st.floats(), st.text(max_size=8)
+)
+NAMES = st.sampled_from(
+    ('teams', 'workspaces', 'rate', 'hosts', 'address', 'zone', 'keys', 'a'),
+)
+DOCUMENTS = st.recursive(
+    SCALARS,
+    lambda inner: st.one_of(
+        st.lists(inner, max_size=3),
+        st.dictionaries(NAMES, inner, max_size=4),
+    ),
+)
+
+
+def write(path: pathlib.Path, text: str) -> str:
+    """Writes a file and returns its path as text."""
+    path.write_text(text)
+    return str(path)
+
+
+def test_daemon_file(tmp_path: pathlib.Path) -> None:
+    """A valid file must load with its values unchanged."""
+    settings = files.load_daemon(write(tmp_path / 'd.yaml', DAEMON))
+    assert settings['name'] == 'sfax-1'
+    assert settings['secrets']['peer'] == 'MARKED-peer-secret'
+
+
+@pytest.mark.parametrize(
+    ('old', 'new', 'wanted'),
+    [
+        ('zone:', 'zoen:', ("did you mean 'zone'", 'zoen', 'd.yaml')),
+        (':8080', ':99999', ('callers', 'port from 1 to 65535')),
+        ('MARKED-peer-secret', 'MARKED-x', ('secrets/peer', '16')),
+        ('name: sfax-1', 'name: [MARKED', ('line',)),
+    ],
+)
+def test_error_names_place_and_remedy(
+    tmp_path: pathlib.Path,
+    old: str,
+    new: str,
+    wanted: tuple[str, ...],
+) -> None:
+    """An operator must see file, path, allowed values, and no secret."""
+    path = write(tmp_path / 'd.yaml', DAEMON.replace(old, new))
+    with pytest.raises(errors.SettingsError) as caught:
+        files.load_daemon(path)
+    for part in wanted:
+        assert part in str(caught.value)
+    assert 'MARKED' not in str(caught.value)
+
+
+def test_names_are_not_guessed() -> None:
+    """YAML 1.1 would turn these names into numbers and booleans."""
+    found = files.read_text(b'{1e5: a, true: b, on: off, 2001-01-01: 1_0}', 'f')
+    assert found == {'1e5': 'a', 'true': 'b', 'on': 'off', '2001-01-01': '1_0'}
+
+
+@pytest.mark.parametrize(
+    'payload',
+    [b'a: &x [1]\nb: *x', b'a: !!python/name:os 1', b'a: 1\na: 2', b'[' * 999],
+)
+def test_hostile_yaml_is_refused(payload: bytes) -> None:
+    """Aliases could expand without bound; the last duplicate would win."""
+    with pytest.raises(errors.SettingsError):
+        files.read_text(payload, 'f')
+
+
+def test_directory_refuses_two_values(tmp_path: pathlib.Path) -> None:
+    """The value of whichever file comes last must not win silently."""
+    write(tmp_path / 'a.yaml', 'teams: {}\nkeys: {confirmation: none}')
+    write(tmp_path / 'b.yaml', 'keys: {confirmation: every_zone}')
+    with pytest.raises(errors.SettingsError, match='keys/confirmation'):
+        files.load_document(str(tmp_path))
+
+
+@given(st.one_of(st.binary(), st.text().map(str.encode)))
+def test_reader_raises_only_coded_errors(payload: bytes) -> None:
+    """Any other exception would reach an operator as a fault of the program."""
+    try:
+        files.read_text(payload, 'f')
+    except errors.SettingsError as exc:
+        assert str(exc).startswith('f')
+
+
+@given(DOCUMENTS)
+def test_every_fault_of_a_document_is_described(source: object) -> None:
+    """A fault that cannot be described would hide the real error."""
+    for schema in ('settings', 'daemon'):
+        for fault in files.find_faults(schema, source, 'f'):
+            assert fault.allowed
+            assert files.format_fault(fault).startswith('f: ')
