Add the messages of the operators interface and of the metrics

GET /history, /hosts, /events and /requests/ID had no message types, and the metrics task had no messages to count by. Both come from operators.capnp now.

--- /dev/null
+++ b/poplarspoke/schema/operators.capnp
@@ -0,0 +1,132 @@
+@0xb1d0a3f0c0de000a;
+
+using Common = import "common.capnp";
+
+struct ChangeRecord {
+  # One accepted change, as GET /history lists it.
+  version @0 :UInt64;  # Settings version that the change made.
+  changeId @1 :Text;
+  team @2 :Text;
+  path @3 :Text;
+  who @4 :Text;
+  why @5 :Text;
+  acceptedAtS @6 :Float64;  # Clock of the table in seconds.
+  before @7 :Text;  # JSON of the value at the path, null if there was none.
+  after @8 :Text;  # JSON of the value at the path, null if it was removed.
+}
+
+struct History {
+  # Changes under a path, the newest first; GET /history?path=P.
+  changes @0 :List(ChangeRecord);
+}
+
+struct HostSettings {
+  # Settings version that a host works with.
+  host @0 :Text;
+  zone @1 :Text;
+  settingsVersion @2 :UInt64;
+  heardAgoS @3 :Float64;  # Seconds since the host was last heard.
+  connected @4 :Bool;  # Live by heartbeats; others cannot confirm a version.
+  leaving @5 :Bool;
+}
+
+struct HostsInForce {
+  # Settings version in force on each host; GET /hosts.
+  settingsVersion @0 :UInt64;  # Version of the host that answers.
+  hosts @1 :List(HostSettings);
+}
+
+struct AutomaticAct {
+  # Something the system did on its own, with its evidence.
+  atS @0 :Float64;  # Wall clock in seconds since 1970.
+  host @1 :Text;
+  event @2 :Text;
+  subject @3 :Text;  # Database, endpoint, workspace or host that it concerns.
+  evidence @4 :Text;
+  setting @5 :Text;  # Path of the setting behind it, empty if there is none.
+  settingsVersion @6 :UInt64;
+}
+
+struct Events {
+  # Recent automatic acts, the newest first; GET /events.
+  events @0 :List(AutomaticAct);
+}
+
+struct RequestStep {
+  # One step that a host took for a request.
+  atS @0 :Float64;  # Seconds since the request came.
+  step @1 :Text;  # Decision, such as admitted or forwarded.
+  subject @2 :Text;  # Endpoint, host or workspace that it concerns.
+  evidence @3 :Text;
+}
+
+struct RequestTrace {
+  # How a host handled a recent request; GET /requests/ID. It has no field for
+  # a key, a statement or its parameters.
+  requestId @0 :Text;
+  host @1 :Text;
+  workspace @2 :Text;
+  route @3 :Text;
+  settingsVersion @4 :UInt64;
+  steps @5 :List(RequestStep);
+  refused @6 :Bool;
+  code @7 :Common.ErrorCode;  # Only if refused.
+  outcome @8 :Common.Outcome;  # Only if refused.
+}
+
+struct ReadCounted {
+  # A read was served by an endpoint.
+  replica @0 :Bool;
+}
+
+struct FailoverCounted {
+  # A failover ended; the gap is from the failure to the first write after it.
+  database @0 :Text;
+  gapS @1 :Float64;
+  drain @2 :Bool;  # Started by a drain.
+}
+
+struct AdmissionCounted {
+  # A request of a workspace was admitted or refused for its rate.
+  workspace @0 :Text;
+  admitted @1 :Bool;
+  wrongful @2 :Bool;  # Refused although this host's own count is in the rate.
+}
+
+struct QueueTimeCounted {
+  # A statement left the queue of an endpoint.
+  workspace @0 :Text;
+  waitS @1 :Float64;
+}
+
+struct ServiceCounted {
+  # A request got its answer.
+  zone @0 :Text;
+  workspace @1 :Text;
+  refused @2 :Bool;
+  code @3 :Common.ErrorCode;  # Only if refused.
+}
+
+struct ConnectionsObserved {
+  # Connections that this host holds to an endpoint.
+  endpoint @0 :Text;
+  open @1 :UInt32;
+  busy @2 :UInt32;
+}
+
+struct CallersObserved {
+  # Connections that callers hold to this host.
+  open @0 :UInt64;
+}
+
+struct LeaseObserved {
+  # Leased part of a workspace's rate that this host may spend.
+  workspace @0 :Text;
+  rate @1 :Float64;  # Requests a second; 0 if the lease has expired.
+}
+
+struct SettingsObserved {
+  # Settings version in force on this host.
+  version @0 :UInt64;
+  confirmedAgoS @1 :Float64;
+}
