Add the command line

Commands are NamedTuples declared in one module, bound by fire and carried out by singledispatch. fire guesses types, lets a switch take the next word and opens a console after "--", so it gets only "--name=value".

Errors are reported once, by core, with an exit status and without traceback.

--- /dev/null
+++ b/poplarspoke/cli/changing.py
@@ -0,0 +1,297 @@
+"""Changes of the settings: what a command proposes, and how it is submitted."""
+
+import functools
+import hashlib
+import json
+from typing import Any, NamedTuple
+
+import anyio
+
+from poplarspoke import errors, files
+from poplarspoke.cli import definitions, documents, output
+from poplarspoke.cli.client import Client, CommandError
+from poplarspoke.context import Context
+from poplarspoke.generated.configuration import ChangeSettings, SettingsSnapshot
+from poplarspoke.generated.operators import HostsInForce
+from poplarspoke.status import ExitStatus
+
+POLL_PAUSE_S = 0.25
+MAX_WAIT_S = 3600
+KEY_ID_BITS = 48
+SECRET_BITS = 256
+CHANGE_ID_CHARACTERS = 32
+
+
+class Proposal(NamedTuple):
+    """A change before it is submitted.
+
+    Attributes:
+        path: Path of the change.
+        content: New value at the path, None removes it.
+        wait_s: Seconds to wait until it is in force on all hosts.
+        key: Key to show once the change is accepted, empty if there is none.
+        plan_only: Print the difference and stop.
+        kept: Paths that stay as they are in force.
+    """
+
+    path: str
+    content: Any
+    who: str
+    why: str
+    team: str
+    wait_s: float
+    key: str = ''
+    plan_only: bool = False
+    kept: tuple[str, ...] = ()
+
+
+def read_document(snapshot: SettingsSnapshot) -> Any:
+    """Returns the document of a snapshot.
+
+    Raises:
+        CommandError: The daemon answered no document.
+    """
+    try:
+        return json.loads(snapshot.document or '{}')
+    except (ValueError, RecursionError) as exc:
+        raise CommandError(
+            'the daemon answered settings that are no JSON; '
+            'use the same version as the daemon',
+            ExitStatus.INTERNAL,
+        ) from exc
+
+
+@functools.singledispatch
+def propose(command: Any, document: Any, context: Context) -> Proposal:
+    """Returns the change that a command asks for.
+
+    Args:
+        command: The command.
+        document: Settings document in force.
+        context: Random source for new keys.
+    """
+    raise TypeError(f'{type(command).__name__} proposes no change')
+
+
+@propose.register
+def _(
+    command: definitions.Change,
+    document: Any,
+    context: Context,
+) -> Proposal:
+    content = documents.parse_value(command.path, command.value)
+    return _create(command, command.path, content)
+
+
+@propose.register
+def _(command: definitions.Apply, document: Any, context: Context) -> Proposal:
+    wanted = files.load_document(command.directory)
+    plan = documents.create_plan(document, wanted)
+    proposal = _create(command, plan.path, plan.content)
+    return proposal._replace(plan_only=command.plan, kept=plan.kept)
+
+
+@propose.register
+def _(
+    command: definitions.CreateWorkspace,
+    document: Any,
+    context: Context,
+) -> Proposal:
+    for present, _ in documents.list_workspaces(document):
+        if present.rpartition('/')[2] == command.workspace:
+            raise CommandError(
+                f'workspace {command.workspace} exists at {present}; '
+                'change its values with "change"',
+                ExitStatus.REFUSED,
+            )
+    path = f'teams/{command.team}/workspaces/{command.workspace}'
+    content = {
+        name: documents.parse_value(f'{path}/{name}', text)
+        for name, text in (('rate', command.rate), ('burst', command.burst))
+    }
+    return _create(command, path, content)
+
+
+@propose.register
+def _(
+    command: definitions.CreateKey,
+    document: Any,
+    context: Context,
+) -> Proposal:
+    path = _find_workspace(document, command.workspace)
+    key_id = f'{context.random.getrandbits(KEY_ID_BITS):012x}'
+    secret = f'{context.random.getrandbits(SECRET_BITS):064x}'
+    key = f'pk_{key_id}_{secret}'
+    digest = hashlib.sha256(key.encode()).hexdigest()
+    content = {'digest': digest, 'revoked': False}
+    proposal = _create(command, f'{path}/keys/{key_id}', content)
+    return proposal._replace(key=key)
+
+
+@propose.register
+def _(
+    command: definitions.RevokeKey,
+    document: Any,
+    context: Context,
+) -> Proposal:
+    workspace = _find_workspace(document, command.workspace)
+    path = f'{workspace}/keys/{command.key_id}'
+    _check_known(document, path, 'key', command.key_id)
+    return _create(command, f'{path}/revoked', content=True)
+
+
+@propose.register(definitions.ZoneOut)
+@propose.register(definitions.ZoneIn)
+def _(command: Any, document: Any, context: Context) -> Proposal:
+    path = f'zones/{command.zone}'
+    _check_known(document, path, 'zone', command.zone)
+    in_service = isinstance(command, definitions.ZoneIn)
+    return _create(command, f'{path}/in_service', in_service)
+
+
+@propose.register(definitions.EndpointOut)
+@propose.register(definitions.EndpointIn)
+def _(command: Any, document: Any, context: Context) -> Proposal:
+    path = _find_endpoint(document, command.endpoint)
+    in_service = isinstance(command, definitions.EndpointIn)
+    return _create(command, f'{path}/in_service', in_service)
+
+
+async def submit(
+    proposal: Proposal,
+    snapshot: SettingsSnapshot,
+    client: Client,
+    printer: output.Printer,
+    context: Context,
+) -> ExitStatus:
+    """Shows the difference, submits it and waits until it is in force.
+
+    Args:
+        proposal: The change.
+        snapshot: Settings that the change is based on.
+        client: Connection to a daemon.
+        printer: Where the difference and the outcome are shown.
+        context: Monotonic clock.
+    """
+    document = read_document(snapshot)
+    wanted = documents.replace_at(document, proposal.path, proposal.content)
+    _check_wanted(wanted)
+    differences = tuple(documents.list_differences(document, wanted))
+    printer.write(
+        output.Planned(snapshot.version, differences, proposal.kept),
+    )
+    if proposal.plan_only:
+        return ExitStatus.SUCCESS
+    version = snapshot.version
+    if differences:
+        change = _create_change(proposal, snapshot.version)
+        accepted = await client.submit(change)
+        version = accepted.version
+        printer.write(output.Accepted(version, change.change_id, proposal.key))
+    return await _wait_in_force(
+        version,
+        proposal.wait_s,
+        client,
+        printer,
+        context,
+    )
+
+
+async def _wait_in_force(
+    version: int,
+    wait_s: float,
+    client: Client,
+    printer: output.Printer,
+    context: Context,
+) -> ExitStatus:
+    """Waits for the connected hosts; reports those that are missing."""
+    end_s = context.now_s() + wait_s
+    while True:
+        hosts = await client.fetch(HostsInForce, '/hosts')
+        missing = output.find_missing(hosts, version)
+        waited_for = [host for host in missing if host.connected]
+        if not waited_for or context.now_s() >= end_s:
+            break
+        await anyio.sleep(POLL_PAUSE_S)
+    printer.write(output.InForce(version, len(hosts.hosts), tuple(missing)))
+    return ExitStatus.NOT_IN_FORCE if missing else ExitStatus.SUCCESS
+
+
+def _create(command: Any, path: str, content: Any) -> Proposal:
+    for name in ('who', 'why'):
+        if not getattr(command, name).strip():
+            raise CommandError(
+                f'--{name} is empty; the history needs it',
+                ExitStatus.USAGE,
+            )
+    return Proposal(
+        path=path,
+        content=content,
+        who=command.who,
+        why=command.why,
+        team=getattr(command, 'team', ''),
+        wait_s=_read_wait_s(command.wait),
+    )
+
+
+def _read_wait_s(text: str) -> float:
+    if text.isdecimal() and int(text) <= MAX_WAIT_S:
+        return int(text)
+    raise CommandError(
+        f'--wait {text!r} is no number of seconds from 0 to {MAX_WAIT_S}; '
+        'give whole seconds',
+        ExitStatus.USAGE,
+    )
+
+
+def _create_change(proposal: Proposal, version: int) -> ChangeSettings:
+    """Returns the message; the same proposal always has the same id."""
+    change = ChangeSettings(
+        team=proposal.team,
+        path=proposal.path,
+        content=json.dumps(proposal.content, sort_keys=True),
+        who=proposal.who,
+        why=proposal.why,
+        base_version=version,
+    )
+    digest = hashlib.sha256(json.dumps(change).encode()).hexdigest()
+    return change._replace(change_id=digest[:CHANGE_ID_CHARACTERS])
+
+
+def _check_wanted(wanted: Any) -> None:
+    faults = files.find_faults(files.DOCUMENT_SCHEMA, wanted, 'settings')
+    if faults:
+        raise errors.SettingsError('\n'.join(map(files.format_fault, faults)))
+
+
+def _find_workspace(document: Any, name: str) -> str:
+    names = []
+    for path, _ in documents.list_workspaces(document):
+        names.append(path.rpartition('/')[2])
+        if names[-1] == name:
+            return path
+    raise _missing('workspace', name, names)
+
+
+def _find_endpoint(document: Any, name: str) -> str:
+    names: list[str] = []
+    for database, group in document.get('databases', {}).items():
+        if name in group['endpoints']:
+            return f'databases/{database}/endpoints/{name}'
+        names.extend(group['endpoints'])
+    raise _missing('endpoint', name, names)
+
+
+def _check_known(document: Any, path: str, kind: str, name: str) -> None:
+    parent = documents.find_at(document, path.rpartition('/')[0]) or {}
+    if name not in parent:
+        raise _missing(kind, name, list(parent))
+
+
+def _missing(kind: str, name: str, known: list[str]) -> CommandError:
+    nearest = files.find_nearest(name, known)
+    hint = f'did you mean {nearest!r}? ' if nearest else ''
+    return CommandError(
+        f'there is no {kind} {name!r}; {hint}list them with "show"',
+        ExitStatus.NOT_FOUND,
+    )
--- /dev/null
+++ b/poplarspoke/cli/definitions.py
@@ -0,0 +1,266 @@
+"""The commands, declared as data.
+
+Each command is a ``NamedTuple``: a field without a default is required, and
+``Definition.positional`` says which fields are given without their name.
+"""
+
+from typing import Any, NamedTuple
+
+IN_FORCE_WAIT_S = '16'
+
+
+class Options(NamedTuple):
+    """Options that every command accepts."""
+
+    at: str = ''
+    secret_file: str = ''
+    json: bool = False
+
+
+class Daemon(NamedTuple):
+    """Runs the proxy daemon of this host until it is told to stop."""
+
+    file: str
+
+
+class Demo(NamedTuple):
+    """Shows the system at work on this machine, with stand-ins."""
+
+
+class Check(NamedTuple):
+    """Checks a daemon's file, a settings document or a directory of them."""
+
+    file: str
+
+
+class Show(NamedTuple):
+    """Shows the settings in force, since when, by whose change and why."""
+
+    path: str = ''
+
+
+class History(NamedTuple):
+    """Lists the changes under a path, the newest first."""
+
+    path: str
+
+
+class Blame(NamedTuple):
+    """Shows who last changed each value under a path, when and why."""
+
+    path: str
+
+
+class Change(NamedTuple):
+    """Changes one value after it has shown the difference."""
+
+    path: str
+    value: str
+    who: str
+    why: str
+    team: str = ''
+    wait: str = IN_FORCE_WAIT_S
+
+
+class Apply(NamedTuple):
+    """Makes what is in force equal to the files; safe to repeat."""
+
+    directory: str
+    who: str
+    why: str
+    team: str = ''
+    plan: bool = False
+    wait: str = IN_FORCE_WAIT_S
+
+
+class CreateWorkspace(NamedTuple):
+    """Creates a workspace of a team with its rate and burst."""
+
+    workspace: str
+    team: str
+    rate: str
+    burst: str
+    who: str
+    why: str
+    wait: str = IN_FORCE_WAIT_S
+
+
+class CreateKey(NamedTuple):
+    """Creates a key and shows it once; only its digest is sent."""
+
+    workspace: str
+    who: str
+    why: str
+    team: str = ''
+    wait: str = IN_FORCE_WAIT_S
+
+
+class RevokeKey(NamedTuple):
+    """Revokes a key, also for callers that are connected."""
+
+    workspace: str
+    key_id: str
+    who: str
+    why: str
+    team: str = ''
+    wait: str = IN_FORCE_WAIT_S
+
+
+class ZoneOut(NamedTuple):
+    """Takes an availability zone out of service."""
+
+    zone: str
+    who: str
+    why: str
+    wait: str = IN_FORCE_WAIT_S
+
+
+class ZoneIn(NamedTuple):
+    """Puts an availability zone back into service."""
+
+    zone: str
+    who: str
+    why: str
+    wait: str = IN_FORCE_WAIT_S
+
+
+class EndpointOut(NamedTuple):
+    """Takes an endpoint out of service."""
+
+    endpoint: str
+    who: str
+    why: str
+    wait: str = IN_FORCE_WAIT_S
+
+
+class EndpointIn(NamedTuple):
+    """Puts an endpoint back into service."""
+
+    endpoint: str
+    who: str
+    why: str
+    wait: str = IN_FORCE_WAIT_S
+
+
+class Hosts(NamedTuple):
+    """Lists the hosts and the settings version in force on each."""
+
+
+class Events(NamedTuple):
+    """Lists recent automatic acts with their evidence."""
+
+
+class Explain(NamedTuple):
+    """Shows how the asked host handled a recent request."""
+
+    request_id: str
+
+
+class Dump(NamedTuple):
+    """Prints the state of every task of the asked host, without secrets."""
+
+
+class Definition(NamedTuple):
+    """A command of the program.
+
+    Attributes:
+        name: Name on the command line.
+        command: Type whose fields are the arguments.
+        positional: Fields that are given without their name, in order.
+        example: Command line that works.
+        lean: Bound without ``fire``, whose import takes about 11 MB; a daemon
+            has 32 MB.
+    """
+
+    name: str
+    command: Any
+    positional: tuple[str, ...]
+    example: str
+    lean: bool = False
+
+
+BY_WHOM = "--who ines --why 'TICKET-7'"
+DEFINITIONS = (
+    Definition(
+        'daemon',
+        Daemon,
+        ('file',),
+        'daemon examples/daemon.yaml',
+        lean=True,
+    ),
+    Definition('demo', Demo, (), 'demo'),
+    Definition('check', Check, ('file',), 'check examples/tn-east.yaml'),
+    Definition('show', Show, ('path',), 'show teams/labels --json'),
+    Definition('history', History, ('path',), 'history zones/Sfax'),
+    Definition('blame', Blame, ('path',), 'blame teams/labels'),
+    Definition(
+        'change',
+        Change,
+        ('path', 'value'),
+        f'change teams/labels/workspaces/baguette/rate 250 {BY_WHOM}',
+    ),
+    Definition(
+        'apply',
+        Apply,
+        ('directory',),
+        f'apply settings/ {BY_WHOM} --plan',
+    ),
+    Definition(
+        'create-workspace',
+        CreateWorkspace,
+        ('workspace',),
+        f'create-workspace panini --team labels --rate 50 --burst 20 {BY_WHOM}',
+    ),
+    Definition(
+        'create-key',
+        CreateKey,
+        ('workspace',),
+        f'create-key baguette {BY_WHOM}',
+    ),
+    Definition(
+        'revoke-key',
+        RevokeKey,
+        ('workspace', 'key_id'),
+        f'revoke-key baguette 3f9a1c {BY_WHOM}',
+    ),
+    Definition('zone-out', ZoneOut, ('zone',), f'zone-out Sfax {BY_WHOM}'),
+    Definition('zone-in', ZoneIn, ('zone',), f'zone-in Sfax {BY_WHOM}'),
+    Definition(
+        'endpoint-out',
+        EndpointOut,
+        ('endpoint',),
+        f'endpoint-out label-core-1-sfax {BY_WHOM}',
+    ),
+    Definition(
+        'endpoint-in',
+        EndpointIn,
+        ('endpoint',),
+        f'endpoint-in label-core-1-sfax {BY_WHOM}',
+    ),
+    Definition('hosts', Hosts, (), 'hosts'),
+    Definition('events', Events, (), 'events --json'),
+    Definition('explain', Explain, ('request_id',), 'explain 8d2e'),
+    Definition('dump', Dump, (), 'dump'),
+)
+
+ARGUMENT_HELP: dict[str, str] = {
+    'at': 'IP:port of a daemon for operators; else POPLARSPOKE_AT',
+    'secret_file': 'file with the operator secret; else POPLARSPOKE_SECRET_FILE',
+    'json': 'print JSON for programs',
+    'file': 'YAML file, or for "check" also a directory',
+    'path': 'path in the settings document, such as zones/Sfax',
+    'value': 'new value; null removes the path',
+    'who': 'who makes the change',
+    'why': 'reason of the change; it is kept in the history',
+    'team': 'team whose subtree is changed; others are refused then',
+    'wait': 'seconds to wait until the change is in force on all hosts',
+    'directory': 'directory of YAML files under version control',
+    'plan': 'print what would be changed and stop',
+    'workspace': 'name of the workspace',
+    'rate': 'requests a second over all hosts',
+    'burst': 'requests that may come at once over all hosts',
+    'key_id': 'id of the key, the part between pk_ and the next _',
+    'zone': 'name of the availability zone',
+    'endpoint': 'name of the endpoint',
+    'request_id': 'id from the answer to the caller or from its log',
+}
--- /dev/null
+++ b/poplarspoke/cli/execution.py
@@ -0,0 +1,211 @@
+"""Carries out the commands, by the type of the command."""
+
+import functools
+import importlib
+import pathlib
+from typing import Any, NamedTuple
+
+import anyio
+
+from poplarspoke import context as contexts
+from poplarspoke import files
+from poplarspoke.cli import changing, definitions, documents, output
+from poplarspoke.cli.arguments import Call, Help
+from poplarspoke.cli.client import Client, CommandError, find_access, quote
+from poplarspoke.context import Context
+from poplarspoke.generated.configuration import SettingsSnapshot
+from poplarspoke.generated.operators import (
+    Events,
+    History,
+    HostsInForce,
+    RequestTrace,
+)
+from poplarspoke.status import ExitStatus
+
+DAEMON_NAMES = frozenset(('callers', 'operators', 'peers', 'secrets'))
+
+
+class Session(NamedTuple):
+    """What a command needs to ask a daemon and to print."""
+
+    client: Client
+    printer: output.Printer
+    context: Context
+
+
+def run(call: Call, context: Context) -> ExitStatus:
+    """Carries out a command.
+
+    Args:
+        call: The command and the common options.
+        context: Clock, random source, streams and log.
+    """
+    printer = output.Printer(context.stdout, as_json=call.options.json)
+    return execute(call.command, call.options, printer, context)
+
+
+@functools.singledispatch
+def execute(
+    command: Any,
+    options: definitions.Options,
+    printer: output.Printer,
+    context: Context,
+) -> ExitStatus:
+    """Carries out one command; the default asks a daemon."""
+    access = find_access(options, context)
+    return anyio.run(_run_asking, command, access, printer, context)
+
+
+@execute.register
+def _(
+    command: Help,
+    options: definitions.Options,
+    printer: output.Printer,
+    context: Context,
+) -> ExitStatus:
+    printer.write_text(command.text)
+    return ExitStatus.SUCCESS
+
+
+@execute.register
+def _(
+    command: definitions.Daemon,
+    options: definitions.Options,
+    printer: output.Printer,
+    context: Context,
+) -> ExitStatus:
+    settings = files.load_daemon(command.file)
+    daemon = importlib.import_module('poplarspoke.daemon')
+    status = daemon.run(contexts.add_settings(context, settings))
+    return ExitStatus(status or 0)
+
+
+@execute.register
+def _(
+    command: definitions.Demo,
+    options: definitions.Options,
+    printer: output.Printer,
+    context: Context,
+) -> ExitStatus:
+    demo = importlib.import_module('poplarspoke.demo')
+    return ExitStatus(demo.run(context) or 0)
+
+
+@execute.register
+def _(
+    command: definitions.Check,
+    options: definitions.Options,
+    printer: output.Printer,
+    context: Context,
+) -> ExitStatus:
+    path = pathlib.Path(command.file)
+    names = set() if path.is_dir() else files.list_names(command.file)
+    if DAEMON_NAMES.intersection(names):
+        files.load_daemon(command.file)
+    else:
+        files.load_document(command.file)
+    printer.write(output.Checked(command.file))
+    return ExitStatus.SUCCESS
+
+
+async def _run_asking(
+    command: Any,
+    access: Any,
+    printer: output.Printer,
+    context: Context,
+) -> ExitStatus:
+    async with Client(access) as client:
+        status: ExitStatus = await ask(
+            command,
+            Session(client, printer, context),
+        )
+        return status
+
+
+@functools.singledispatch
+async def ask(command: Any, session: Session) -> ExitStatus:
+    """Carries out a command that asks a daemon; the default changes."""
+    snapshot = await session.client.fetch(SettingsSnapshot, '/settings')
+    document = changing.read_document(snapshot)
+    proposal = changing.propose(command, document, session.context)
+    return await changing.submit(
+        proposal,
+        snapshot,
+        session.client,
+        session.printer,
+        session.context,
+    )
+
+
+@ask.register
+async def _(command: definitions.Show, session: Session) -> ExitStatus:
+    snapshot = await session.client.fetch(SettingsSnapshot, '/settings')
+    document = changing.read_document(snapshot)
+    content = documents.find_at(document, command.path)
+    _check_found(content, command.path)
+    session.printer.write(
+        output.Shown(
+            version=snapshot.version,
+            accepted_at_s=snapshot.accepted_at_s,
+            who=snapshot.who,
+            why=snapshot.why,
+            path=command.path,
+            content=content,
+        ),
+    )
+    return ExitStatus.SUCCESS
+
+
+@ask.register
+async def _(command: definitions.History, session: Session) -> ExitStatus:
+    session.printer.write(await _fetch_history(command.path, session))
+    return ExitStatus.SUCCESS
+
+
+@ask.register
+async def _(command: definitions.Blame, session: Session) -> ExitStatus:
+    snapshot = await session.client.fetch(SettingsSnapshot, '/settings')
+    document = changing.read_document(snapshot)
+    _check_found(documents.find_at(document, command.path), command.path)
+    history = await _fetch_history(command.path, session)
+    found = documents.find_blame(document, command.path, history.changes)
+    session.printer.write(output.Blamed(tuple(found)))
+    return ExitStatus.SUCCESS
+
+
+@ask.register
+async def _(command: definitions.Hosts, session: Session) -> ExitStatus:
+    session.printer.write(await session.client.fetch(HostsInForce, '/hosts'))
+    return ExitStatus.SUCCESS
+
+
+@ask.register
+async def _(command: definitions.Events, session: Session) -> ExitStatus:
+    session.printer.write(await session.client.fetch(Events, '/events'))
+    return ExitStatus.SUCCESS
+
+
+@ask.register
+async def _(command: definitions.Explain, session: Session) -> ExitStatus:
+    path = f'/requests/{quote(command.request_id)}'
+    session.printer.write(await session.client.fetch(RequestTrace, path))
+    return ExitStatus.SUCCESS
+
+
+@ask.register
+async def _(command: definitions.Dump, session: Session) -> ExitStatus:
+    body = await session.client.fetch_bytes('/dump')
+    session.printer.write_text(body.decode(errors='replace'))
+    return ExitStatus.SUCCESS
+
+
+async def _fetch_history(path: str, session: Session) -> History:
+    return await session.client.fetch(History, f'/history?path={quote(path)}')
+
+
+def _check_found(content: Any, path: str) -> None:
+    if content is None:
+        raise CommandError(
+            f'nothing is set at {path!r}; list what is with "show"',
+            ExitStatus.NOT_FOUND,
+        )
--- a/poplarspoke/context.py
+++ b/poplarspoke/context.py
@@ -4,10 +4,11 @@
 test passes its own.
 """
 
+import os
 import random
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import NamedTuple, TextIO
 
 from poplarspoke import logs
@@ -24,6 +25,7 @@
         stdin: Input of the operator.
         stdout: Results.
         stderr: Errors and log lines.
+        environment: Environment variables; only commands read them.
         settings: Settings of the daemon, None in a command.
         log: Structured log.
     """
@@ -34,6 +36,7 @@
     stdin: TextIO
     stdout: TextIO
     stderr: TextIO
+    environment: Mapping[str, str]
     settings: DaemonSettings | None
     log: logs.Log
 
@@ -47,6 +50,7 @@
         stdin=sys.stdin,
         stdout=sys.stdout,
         stderr=sys.stderr,
+        environment=os.environ,
         settings=None,
         log=logs.Log(sys.stderr, wall_s=time.time),
     )
--- a/poplarspoke/files.py
+++ b/poplarspoke/files.py
@@ -96,6 +96,16 @@
     return document
 
 
+def list_names(path: str) -> set[str]:
+    """Returns the names at the top of a YAML file.
+
+    Raises:
+        errors.SettingsError: The file is missing or no YAML.
+    """
+    source = _read_file(pathlib.Path(path))
+    return set(source) if isinstance(source, dict) else set()
+
+
 def find_faults(schema: str, source: Any, file: str) -> list[Fault]:
     """Returns everything in plain data that breaks a schema.
 
@@ -325,3 +335,32 @@
         return
     for name, entry in source.items():
         yield from list_paths(entry, f'{path}/{name}' if path else name)
+
+
+def find_kind(path: str) -> str:
+    """Returns the JSON type that the settings schema wants at a path.
+
+    Raises:
+        errors.SettingsError: The path names something that does not exist.
+    """
+    schema = _load_validator(DOCUMENT_SCHEMA).schema
+    rule = schema
+    seen: list[str] = []
+    for name in filter(None, path.split('/')):
+        known = rule.get('properties', {})
+        inner = known.get(name, rule.get('additionalProperties'))
+        if not isinstance(inner, dict):
+            fault = Fault(
+                'settings',
+                '/'.join((*seen, name)),
+                f'unknown name {_show(name, [])}',
+                _list_names(known) or 'no name below a value',
+                find_nearest(name, known),
+                'use a known path; "show" lists them',
+            )
+            _raise_faults([fault])
+            break
+        reference = inner.get('$ref', '').rpartition('/')[2]
+        rule = schema['$defs'][reference] if reference else inner
+        seen.append(name)
+    return str(rule.get('type', 'string'))
--- a/poplarspoke/logs.py
+++ b/poplarspoke/logs.py
@@ -8,7 +8,9 @@
 
 import copy
 import json
+import logging
 import re
+import sys
 import traceback
 from collections.abc import Callable, Iterable
 from typing import Any, Self, TextIO, TypedDict, Unpack
@@ -152,7 +154,7 @@
     ) -> None:
         """Writes an error with its type, code and place, without its text."""
         fields['error'] = type(exc).__name__
-        fields['frames'] = _list_frames(exc)
+        fields['frames'] = list_frames(exc)
         code = getattr(exc, 'code', None)
         if code is not None:
             fields['code'] = str(codec.to_object(code))
@@ -192,12 +194,49 @@
         self._handler.handle(record)
 
 
+class LibraryCapture(logging.Handler):
+    """Sends the messages of libraries to the log; a context manager.
+
+    Libraries write tracebacks and values; only their name, level and the type
+    of an exception are kept.
+    """
+
+    def __init__(self, log: Log) -> None:
+        """Keeps the log that the messages go to."""
+        super().__init__(logging.WARNING)
+        self._log = log
+        self._unraisable = sys.unraisablehook
+
+    def __enter__(self) -> Self:
+        """Starts to receive the messages of libraries."""
+        logging.getLogger().addHandler(self)
+        sys.unraisablehook = self._write_unraisable
+        return self
+
+    def __exit__(self, *_exc: object) -> None:
+        """Stops receiving messages."""
+        logging.getLogger().removeHandler(self)
+        sys.unraisablehook = self._unraisable
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Writes the origin of a message, without its text."""
+        exc = record.exc_info[1] if record.exc_info else None
+        if exc is None:
+            self._log.warning('library_message', library=record.name)
+            return
+        self._log.failure('library_failure', exc, library=record.name)
+
+    def _write_unraisable(self, unraisable: 'sys.UnraisableHookArgs') -> None:
+        if unraisable.exc_value is not None:
+            self._log.failure('unraisable', unraisable.exc_value)
+
+
 def _name_type(node: object) -> str:
     """Returns the type's name, since an unknown value may be a secret."""
     return type(node).__name__
 
 
-def _list_frames(exc: BaseException) -> list[str]:
+def list_frames(exc: BaseException) -> list[str]:
     """Returns file, line and function of the innermost frames."""
     frames = traceback.extract_tb(exc.__traceback__)[-MAX_FRAMES:]
     return [
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,475 @@
+"""Guards the commands against a fake daemon on loopback."""
+
+import contextlib
+import hashlib
+import io
+import json
+import pathlib
+import threading
+from collections.abc import Callable, Iterator
+from typing import Any
+from urllib import parse as url
+
+import anyio
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from poplarspoke import core, errors, files, web
+from poplarspoke.cli import arguments, changing, definitions, documents, output
+from poplarspoke.generated.common import ErrorCode
+from poplarspoke.generated.configuration import (
+    ChangeSettings,
+    SettingsChanged,
+    SettingsSnapshot,
+)
+from poplarspoke.generated.operators import (
+    AutomaticAct,
+    ChangeRecord,
+    Events,
+    History,
+    HostSettings,
+    HostsInForce,
+    RequestTrace,
+)
+from poplarspoke.status import ExitStatus
+from tests.test_core import create_context, read_output
+
+SECRET = 'MARKED-operator-secret'
+BY_WHOM = ['--who', 'ines', '--why', 'TICKET-7', '--wait', '0']
+DOCUMENT: dict[str, Any] = {
+    'teams': {
+        'labels': {
+            'workspaces': {
+                'baguette': {
+                    'rate': 200,
+                    'burst': 40,
+                    'keys': {'3f9a1c': {'digest': 'a' * 64, 'revoked': True}},
+                },
+            },
+        },
+    },
+    'zones': {'Sfax': {'in_service': True}},
+    'databases': {
+        'label-core-1': {
+            'slots': 2,
+            'connections': 5,
+            'endpoints': {
+                'core-1-sfax': {
+                    'zone': 'Sfax',
+                    'address': '127.0.0.1:7001',
+                    'in_service': True,
+                },
+            },
+        },
+    },
+}
+
+
+class FakeDaemon:
+    """Operators' interface that applies changes to a document at once."""
+
+    def __init__(self) -> None:
+        """Starts with version 7 in force on two hosts."""
+        self.document = DOCUMENT
+        self.version = 7
+        self.behind: list[HostSettings] = []
+        self.changes: list[ChangeSettings] = []
+        self.refusal: ErrorCode | None = None
+        self.port = 0
+
+    async def handle(self, request: web.Request) -> web.Response:
+        """Answers one request."""
+        bearer = request.find_header('authorization')
+        if bearer != f'Bearer {SECRET}':
+            return self.refuse(ErrorCode.KEY_REFUSED)
+        if request.method == 'POST':
+            return self.change(web.read_json(ChangeSettings, request.body))
+        answers: dict[str, Callable[[], Any]] = {
+            '/settings': self.snapshot,
+            '/hosts': self.hosts,
+            '/events': lambda: Events(
+                (AutomaticAct(event='failover', evidence='e\x1b[2J'),),
+            ),
+            '/dump': lambda: {'tasks': {}},
+            '/requests/r%2F1': lambda: RequestTrace('r/1', 'sfax-1'),
+        }
+        path = request.path.partition('?')[0]
+        if path == '/history':
+            return web.Response(200, web.write_json(self.history(request)))
+        if path not in answers:
+            return web.Response(404)
+        return web.Response(200, web.write_json(answers[path]()))
+
+    def snapshot(self) -> SettingsSnapshot:
+        """Returns the settings in force."""
+        return SettingsSnapshot(
+            'sfax-1', self.version, json.dumps(self.document), 1.5, 'amel', 'w'
+        )
+
+    def hosts(self) -> HostsInForce:
+        """Returns one host that is current, and those that are behind."""
+        current = HostSettings('sfax-1', 'Sfax', self.version, 0.1, True)
+        return HostsInForce(self.version, (current, *self.behind))
+
+    def history(self, request: web.Request) -> History:
+        """Returns the changes under the asked path."""
+        path = url.unquote(request.path.partition('=')[2])
+        assert path.startswith('teams')
+        first = ChangeRecord(
+            version=3, path='teams', who='amel', before='{}',
+            after=json.dumps(DOCUMENT['teams']),
+        )  # fmt: skip
+        rate = ChangeRecord(
+            version=5, path='teams/labels/workspaces/baguette/rate',
+            who='ines', before='100', after='200',
+        )  # fmt: skip
+        return History((rate, first))
+
+    def change(self, change: ChangeSettings) -> web.Response:
+        """Applies a change."""
+        if self.refusal is not None:
+            return self.refuse(self.refusal)
+        self.changes.append(change)
+        self.version += 1
+        self.document = documents.replace_at(
+            self.document, change.path, json.loads(change.content)
+        )
+        answer = SettingsChanged(change.change_id, self.version)
+        return web.Response(200, web.write_json(answer))
+
+    def refuse(self, code: ErrorCode) -> web.Response:
+        """Answers with an error."""
+        refusal = errors.refuse(code, 'refused by the test')
+        return web.Response(
+            errors.ERROR_KINDS[code].status,
+            web.write_json({'error': refusal}),
+        )
+
+
+async def serve(
+    daemon: FakeDaemon,
+    started: threading.Event,
+    stop: anyio.Event,
+) -> None:
+    """Serves the fake until it is stopped."""
+    server = web.HttpServer(daemon.handle, host='127.0.0.1', port=0)
+    async with server:
+        daemon.port = server.port
+        started.set()
+        await stop.wait()
+
+
+@pytest.fixture
+def daemon() -> Iterator[FakeDaemon]:
+    """Returns a fake daemon that serves in a thread of its own."""
+    fake = FakeDaemon()
+    with contextlib.ExitStack() as stack:
+        portal = stack.enter_context(
+            anyio.from_thread.start_blocking_portal('asyncio'),
+        )
+        stop = portal.call(anyio.Event)
+        started = threading.Event()
+        future = portal.start_task_soon(serve, fake, started, stop)
+        assert started.wait(10)
+        yield fake
+        portal.call(stop.set)
+        future.result(10)
+
+
+@pytest.fixture
+def secret_file(tmp_path: pathlib.Path) -> str:
+    """Returns the path of a file with the operator secret."""
+    path = tmp_path / 'secret'
+    path.write_text(f'{SECRET}\n')
+    return str(path)
+
+
+class Run:
+    """Runs command lines against the fake daemon."""
+
+    def __init__(self, daemon: FakeDaemon, secret_file: str) -> None:
+        """Keeps where the daemon listens."""
+        self.at = f'127.0.0.1:{daemon.port}'
+        self.secret_file = secret_file
+
+    def __call__(self, *args: str) -> tuple[ExitStatus, str, str]:
+        """Returns exit status, output and errors of a command."""
+        context = create_context(
+            POPLARSPOKE_AT=self.at,
+            POPLARSPOKE_SECRET_FILE=self.secret_file,
+        )
+        status = core.run(args, context)
+        text, report = read_output(context)
+        assert SECRET not in text + report
+        return status, text, report
+
+
+@pytest.fixture
+def run(daemon: FakeDaemon, secret_file: str) -> Run:
+    """Returns what runs command lines against the fake daemon."""
+    return Run(daemon, secret_file)
+
+
+@given(st.text().filter(lambda text: text not in {'-h', '--help'}))
+def test_values_stay_text(value: str) -> None:
+    """A name such as 1e5, true or -x must not become another type."""
+    call = arguments.parse(['show', f'--path={value}'])
+    assert call.command == definitions.Show(value)
+
+
+@pytest.mark.parametrize('name', ['1e5', 'true', 'None', '[1]', "'a'", '-5'])
+def test_positional_values_stay_text(name: str) -> None:
+    """The library would guess numbers, booleans and lists."""
+    call = arguments.parse(['zone-out', name, '--why=1', '--who', 'None'])
+    assert call.command == definitions.ZoneOut(name, 'None', '1')
+
+
+def test_switch_does_not_take_the_next_word() -> None:
+    """The library would take the path as the value of --json."""
+    call = arguments.parse(['show', '--json', 'zones'])
+    assert call == (definitions.Show('zones'), definitions.Options(json=True))
+
+
+@pytest.mark.parametrize(
+    'args',
+    [
+        ['show', '--', '--interactive'],
+        ['show', 'a', 'b'],
+        ['show', '--path'],
+        ['daemon', 'a', 'b'],
+    ],
+)
+def test_excess_arguments_are_refused(args: list[str]) -> None:
+    """A dropped argument, or a console, would surprise an operator."""
+    with pytest.raises(arguments.UsageError):
+        arguments.parse(args)
+
+
+@pytest.mark.parametrize('definition', definitions.DEFINITIONS)
+def test_help_and_example(definition: definitions.Definition) -> None:
+    """An example that cannot be parsed would mislead operators."""
+    text = arguments.parse([definition.name, '--help']).command.text
+    assert definition.example in text
+    words = definition.example.replace("'", '').split()
+    assert isinstance(arguments.parse(words).command, definition.command)
+
+
+@pytest.mark.parametrize(
+    ('args', 'wanted'),
+    [
+        (['show', 'zones'], 'version 7 since 1970'),
+        (['hosts'], 'sfax-1 in Sfax: version 7, connected'),
+        (['events'], r'failover : e\x1b[2J'),
+        (['explain', 'r/1'], 'request r/1 on sfax-1'),
+        (['dump'], '{"tasks": {}}'),
+        (['history', 'teams'], '100 -> 200'),
+        (['blame', 'teams'], 'rate = 200  [version 5'),
+        (['blame', 'teams'], 'burst = 40  [version 3'),
+    ],
+)
+def test_reading_commands(run: Run, args: list[str], wanted: str) -> None:
+    """Each reading command must show what the daemon answered."""
+    status, text, report = run(*args)
+    assert (status, report) == (ExitStatus.SUCCESS, '')
+    assert wanted in text
+    assert '\x1b' not in text
+    if args[0] != 'dump':
+        for line in run(*args, '--json')[1].splitlines():
+            assert json.loads(line)['kind']
+
+
+def test_change_shows_difference_and_missing(
+    run: Run,
+    daemon: FakeDaemon,
+) -> None:
+    """A change that is not in force everywhere must not look finished."""
+    daemon.behind = [HostSettings('sousse-1', 'Sousse', 7, 0.2, True)]
+    path = 'teams/labels/workspaces/baguette/rate'
+    status, text, _ = run('change', path, '250', *BY_WHOM)
+    assert status is ExitStatus.NOT_IN_FORCE
+    lines = text.splitlines()
+    assert lines[0] == f'{path}: 200 -> 250'
+    assert lines[1] == 'accepted as version 8'
+    assert 'in force on 1 of 2 hosts' in lines[2]
+    assert lines[3].startswith('missing: sousse-1')
+    assert daemon.changes[0].base_version == 7
+
+
+def test_repeated_change_changes_nothing(run: Run, daemon: FakeDaemon) -> None:
+    """A repeat after a lost answer must not be a second change."""
+    for _ in range(2):
+        status, text, _report = run('zone-out', 'Sfax', *BY_WHOM)
+        assert status is ExitStatus.SUCCESS
+    assert 'no difference' in text
+    assert len(daemon.changes) == 1
+    assert daemon.document['zones']['Sfax']['in_service'] is False
+
+
+def test_same_proposal_has_same_change_id() -> None:
+    """The platform recognises a repeat by the change id only."""
+    proposal = changing.Proposal('a', {}, 'w', 'y', '', 0)
+    ids = {
+        changing._create_change(proposal, version).change_id
+        for version in (7, 7, 8)
+    }
+    assert len(ids) == 2
+
+
+@pytest.mark.parametrize(
+    ('args', 'status', 'wanted'),
+    [
+        (['zone-out', 'Sfxa'], ExitStatus.NOT_FOUND, "mean 'Sfax'"),
+        (
+            ['endpoint-out', 'core-1-sfxa'],
+            ExitStatus.NOT_FOUND,
+            "mean 'core-1-sfax'",
+        ),
+        (
+            ['revoke-key', 'baguette', '3f9a1d'],
+            ExitStatus.NOT_FOUND,
+            "mean '3f9a1c'",
+        ),
+        (['create-key', 'bagel'], ExitStatus.NOT_FOUND, 'no workspace'),
+        (['change', 'zones/a/in_service', '1'], ExitStatus.REFUSED, 'boolean'),
+        (['change', 'tems', '{}'], ExitStatus.REFUSED, "mean 'teams'"),
+        (['change', 'teams', 'null'], ExitStatus.REFUSED, 'no teams'),
+    ],
+)
+def test_wrong_change_is_refused_before_it_is_sent(
+    run: Run,
+    daemon: FakeDaemon,
+    args: list[str],
+    status: ExitStatus,
+    wanted: str,
+) -> None:
+    """A typing error must change nothing and name the nearest name."""
+    found, _, report = run(*args, *BY_WHOM)
+    assert found is status
+    assert wanted in report
+    assert not daemon.changes
+
+
+@pytest.mark.parametrize(
+    ('code', 'status'),
+    [
+        (ErrorCode.CONFLICT, ExitStatus.CONFLICT),
+        (ErrorCode.FORBIDDEN, ExitStatus.REFUSED),
+        (ErrorCode.STORE_UNAVAILABLE, ExitStatus.UNREACHABLE),
+    ],
+)
+def test_refused_change_shows_no_key(
+    run: Run,
+    daemon: FakeDaemon,
+    code: ErrorCode,
+    status: ExitStatus,
+) -> None:
+    """A key that was not accepted must not be handed to a caller."""
+    daemon.refusal = code
+    found, text, report = run('create-key', 'baguette', *BY_WHOM)
+    assert found is status
+    assert 'pk_' not in text
+    assert errors.ERROR_KINDS[code].remedy in report
+
+
+def test_key_is_shown_once_and_only_its_digest_sent(
+    run: Run,
+    daemon: FakeDaemon,
+) -> None:
+    """A key in the document or the history could be read by others."""
+    status, text, _ = run('create-key', 'baguette', *BY_WHOM)
+    assert status is ExitStatus.SUCCESS
+    key = text.partition('shown only now: ')[2].split()[0]
+    assert text.count(key) == 1
+    content = json.loads(daemon.changes[0].content)
+    assert content['digest'] == hashlib.sha256(key.encode()).hexdigest()
+    assert key.rpartition('_')[2] not in str(daemon.changes)
+
+
+def test_apply_keeps_keys_and_is_safe_to_repeat(
+    run: Run,
+    daemon: FakeDaemon,
+    tmp_path: pathlib.Path,
+) -> None:
+    """Files without keys must not delete the keys of all callers."""
+    wanted = json.loads(json.dumps(DOCUMENT))
+    workspace = wanted['teams']['labels']['workspaces']['baguette']
+    workspace.pop('keys')
+    workspace['rate'] = 300
+    directory = tmp_path / 'settings'
+    directory.mkdir()
+    (directory / 'all.yaml').write_text(json.dumps(wanted))
+    planned = run('apply', str(directory), '--plan', *BY_WHOM)
+    assert planned[0] is ExitStatus.SUCCESS
+    assert 'rate: 200 -> 300' in planned[1]
+    assert not daemon.changes
+    for _ in range(2):
+        assert run('apply', str(directory), *BY_WHOM)[0] is ExitStatus.SUCCESS
+    assert [change.path for change in daemon.changes] == [
+        'teams/labels/workspaces/baguette/rate',
+    ]
+
+
+def test_apply_does_not_revive_a_revoked_key() -> None:
+    """An old file must not make a revoked key valid again."""
+    wanted = json.loads(json.dumps(DOCUMENT))
+    path = 'teams/labels/workspaces/baguette/keys'
+    documents.find_at(wanted, path)['3f9a1c']['revoked'] = False
+    plan = documents.create_plan(DOCUMENT, wanted)
+    assert not plan.differences
+    assert plan.kept == (f'{path}/3f9a1c/revoked',)
+
+
+def test_wrong_secret_and_no_daemon(run: Run, tmp_path: pathlib.Path) -> None:
+    """Both must name what to check."""
+    other = tmp_path / 'other'
+    other.write_text('another secret')
+    status, _, report = run('hosts', '--secret-file', str(other))
+    assert status is ExitStatus.REFUSED
+    status, _, report = run('hosts', '--at', '127.0.0.1:1')
+    assert status is ExitStatus.UNREACHABLE
+    assert 'check --at' in report
+
+
+NAMES = st.sampled_from(('a', 'b', 'c'))
+TREES = st.dictionaries(
+    NAMES, st.one_of(st.integers(0, 2), st.dictionaries(NAMES, st.integers()))
+)
+
+
+@given(TREES, TREES)
+def test_plan_makes_documents_equal(before: Any, after: Any) -> None:
+    """A plan that misses a difference would leave the files not in force."""
+    plan = documents.create_plan(before, after)
+    if plan.differences:
+        changed = documents.replace_at(before, plan.path, plan.content)
+        assert changed == after
+    else:
+        assert before == after
+
+
+def test_check_tells_the_two_kinds_apart(tmp_path: pathlib.Path) -> None:
+    """A daemon's file must not be reported against the other schema."""
+    path = tmp_path / 'd.yaml'
+    path.write_text('zone: Sfax\nsecrets: {}\n')
+    context = create_context()
+    assert core.run(['check', str(path)], context) is ExitStatus.REFUSED
+    assert 'secrets' in read_output(context)[1]
+    path.write_text('teams: {}\n')
+    assert core.run(['check', str(path)], create_context()) is (
+        ExitStatus.SUCCESS
+    )
+
+
+def test_printed_lines_hold_no_control_characters() -> None:
+    """A name chosen by another person must not control the terminal."""
+    stream = io.StringIO()
+    output.Printer(stream, as_json=False).write_text('a\x1b]0;b\x07\u202e')
+    assert stream.getvalue() == (r'a\x1b]0;b\x07\u202e' + '\n')
+
+
+def test_kind_follows_the_schema() -> None:
+    """The type of a value must come from the schema, not from its look."""
+    assert files.find_kind('hosts/h/zone') == 'string'
+    assert documents.parse_value('hosts/h/zone', 'true') == 'true'
+    assert documents.parse_value('zones/z/in_service', 'true') is True
