--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,71 @@
+"""Guards the metrics against lost counts and unbounded label sets."""
+
+import pytest
+
+from poplarspoke import metrics as metric
+from poplarspoke.generated import operators
+from poplarspoke.generated.common import ErrorCode
+
+COUNTED = (
+    (operators.ReadCounted(replica=True), 'reads_total{role="replica"} 1.0'),
+    (
+        operators.FailoverCounted('d', 1.5, drain=True),
+        'failover_gap_seconds_sum{reason="drain"} 1.5',
+    ),
+    (
+        operators.AdmissionCounted('w', admitted=True),
+        'admitted_total{workspace="w"} 1.0',
+    ),
+    (
+        operators.AdmissionCounted('w', admitted=False, wrongful=True),
+        'wrongful_refused_total{workspace="w"} 1.0',
+    ),
+    (
+        operators.QueueTimeCounted('w', 0.03),
+        'queue_wait_seconds_bucket{le="0.05",workspace="w"} 1.0',
+    ),
+    (
+        operators.ServiceCounted('Sfax', 'w', True, ErrorCode.OVERLOADED),
+        'answers_total{code="overloaded",zone="Sfax"} 1.0',
+    ),
+    (
+        operators.ConnectionsObserved('e', 5, 2),
+        'connections{endpoint="e",state="busy"} 2.0',
+    ),
+    (operators.CallersObserved(9), 'caller_connections 9.0'),
+    (operators.LeaseObserved('w', 4), 'leased_rate{workspace="w"} 4.0'),
+    (operators.SettingsObserved(12, 0.5), 'settings_version 12.0'),
+)
+
+
+@pytest.mark.parametrize(('message', 'line'), COUNTED)
+def test_message_is_counted(message: object, line: str) -> None:
+    """A message that is not counted would hide a fault from operators."""
+    metrics = metric.create_metrics()
+    metric.record(message, metrics)
+    assert f'poplarspoke_{line}\n' in metric.render(metrics).decode()
+
+
+def test_unknown_message_is_an_error() -> None:
+    """A new message without a counter must be noticed."""
+    with pytest.raises(TypeError):
+        metric.record('text', metric.create_metrics())
+
+
+def test_two_daemons_do_not_share_counts() -> None:
+    """The default registry of the library is shared by a whole process."""
+    first = metric.create_metrics()
+    metric.record(operators.CallersObserved(9), first)
+    rendered = metric.render(metric.create_metrics()).decode()
+    assert 'poplarspoke_caller_connections 0.0' in rendered
+
+
+def test_label_sets_are_bounded() -> None:
+    """Each new workspace would otherwise cost memory for ever."""
+    metrics = metric.create_metrics()
+    for number in range(metric.MAX_WORKSPACES + 50):
+        message = operators.AdmissionCounted(f'w{number}', admitted=True)
+        metric.record(message, metrics)
+    rendered = metric.render(metrics).decode()
+    assert rendered.count('admitted_total{') == metric.MAX_WORKSPACES + 1
+    assert 'admitted_total{workspace="other"} 50.0' in rendered
