--- a/tests/test_dump.py
+++ b/tests/test_dump.py
@@ -9,7 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from poplarspoke import dump as dumps
+from poplarspoke import dump as state_dump
 from poplarspoke.generated import keys, members, peers, requests
 from poplarspoke.generated.common import ErrorCode
 
@@ -19,7 +19,7 @@
 
 def read_dump(state: object, now_s: float = 100) -> Any:
     """Returns the dump of one state."""
-    dumped = json.loads(dumps.dump({'t': state}, now_s, (SECRET,)))
+    dumped = json.loads(state_dump.dump({'t': state}, now_s, (SECRET,)))
     return dumped['tasks']['t']
 
 
@@ -94,7 +94,7 @@
             'random': random.Random(0),
             'limit': float('inf'),
             ('sfax', 7): {3, 1},
-            'many': list(range(dumps.MAX_ENTRIES + 5)),
+            'many': list(range(state_dump.MAX_ENTRIES + 5)),
         },
     )
     assert shown['code'] == 'overloaded'
@@ -108,7 +108,7 @@
     """A state that contains itself must not end the daemon."""
     state: dict[str, Any] = {}
     state['self'] = state
-    assert dumps.OMITTED in json.dumps(read_dump(state))
+    assert state_dump.OMITTED in json.dumps(read_dump(state))
 
 
 PLAIN = st.one_of(st.none(), st.booleans(), st.floats(), st.text())
