--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,145 @@
+"""Guards the pages for people outside against drifting from the program."""
+
+import json
+import pathlib
+import re
+from collections.abc import Iterator
+from typing import Any
+
+import pytest
+
+from poplarspoke import codec, errors, logs, metrics, web
+from poplarspoke.cli import arguments, definitions
+from poplarspoke.generated.common import ErrorCode, Outcome
+from poplarspoke.status import ExitStatus
+
+ROOT = pathlib.Path(__file__).parent.parent
+PAGES = ('interface', 'operations', 'security')
+TEXTS = {name: (ROOT / f'docs/{name}.md').read_text() for name in PAGES}
+CODED = re.compile('`([^`]+)`')
+COMMANDS = {entry.name for entry in definitions.DEFINITIONS}
+CODES = {code.name.lower() for code in ErrorCode}
+OUTCOMES = {outcome.name.lower() for outcome in Outcome}
+
+
+def list_rows(title: str, page: str = 'interface') -> list[list[str]]:
+    """Returns the cells of the table under a title, without its head."""
+    after = TEXTS[page].partition(f'# {title}\n')[2]
+    section = re.split(r'\n##', after)[0]
+    rows = [line for line in section.splitlines() if line.startswith('|')]
+    return [
+        [cell.strip() for cell in row.strip('|').split(' | ')]
+        for row in rows[2:]
+    ]
+
+
+def list_settings(rule: Any, schema: Any, path: str) -> Iterator[str]:
+    """Yields the path of each setting of a schema, with ``*`` for names."""
+    reference = rule.get('$ref', '').rpartition('/')[2]
+    if reference:
+        rule = schema['$defs'][reference]
+    inner = dict(rule.get('properties', {}))
+    if isinstance(rule.get('additionalProperties'), dict):
+        inner['*'] = rule['additionalProperties']
+    if not inner:
+        yield path
+    for name, entry in inner.items():
+        joined = f'{path}/{name}' if path else name
+        yield from list_settings(entry, schema, joined)
+
+
+def read_settings(name: str) -> list[str]:
+    """Returns the path of each setting of a schema of the package."""
+    schema = json.loads((codec.SCHEMA_DIR / f'{name}.json').read_text())
+    return sorted(list_settings(schema, schema, ''))
+
+
+def test_error_codes_and_the_page_agree() -> None:
+    """A caller relies on code, status and outcome."""
+    wanted = [
+        [
+            f'`{code.name.lower()}`',
+            str(int(kind.status)),
+            f'`{kind.outcome.name.lower()}`',
+            kind.remedy,
+        ]
+        for code, kind in errors.ERROR_KINDS.items()
+    ]
+    assert list_rows('Error codes') == wanted
+    assert len(wanted) == len(ErrorCode)
+
+
+def test_operations_explain_every_code() -> None:
+    """An operator looks a code up on this page."""
+    rows = list_rows('Refusals that callers see', 'operations')
+    rows += list_rows('Commands that are refused', 'operations')
+    assert sorted(row[0].strip('`') for row in rows) == sorted(CODES)
+
+
+def test_commands_and_the_page_agree() -> None:
+    """Each row must be a command with its required arguments."""
+    rows = list_rows('Commands')
+    assert [row[0].strip('`').split()[0] for row in rows] == [
+        entry.name for entry in definitions.DEFINITIONS
+    ]
+    for row, entry in zip(rows, definitions.DEFINITIONS, strict=True):
+        assert row[1] == entry.command.__doc__
+        words = row[0].strip('`').replace('[', '').replace(']', '').split()
+        given = [
+            f'{word}=1' if word.startswith('--') else word for word in words
+        ]
+        assert isinstance(arguments.parse(given).command, entry.command)
+
+
+@pytest.mark.parametrize(
+    ('title', 'schema'),
+    [('Settings document', 'settings'), ('Daemon file', 'daemon')],
+)
+def test_settings_and_the_page_agree(title: str, schema: str) -> None:
+    """A setting that is missing on the page will not be found."""
+    named = [
+        re.sub('<[^>]+>', '*', row[0].strip('`')) for row in list_rows(title)
+    ]
+    assert sorted(named) == read_settings(schema)
+
+
+def test_metrics_and_the_page_agree() -> None:
+    """Alerts are written from the page."""
+    families = metrics.create_metrics().registry.collect()
+    wanted = {
+        f'{family.name}_total' if family.type == 'counter' else family.name
+        for family in families
+    }
+    named = {row[0].strip('`') for row in list_rows('Metrics')}
+    assert named == wanted
+    for page in PAGES:
+        assert set(re.findall('poplarspoke_[a-z_]+', TEXTS[page])) <= wanted
+
+
+def test_exit_statuses_and_the_page_agree() -> None:
+    """Scripts branch on the exit status."""
+    named = [int(row[0]) for row in list_rows('Exit statuses')]
+    assert named == [int(status) for status in ExitStatus]
+
+
+@pytest.mark.parametrize('page', PAGES)
+def test_every_coded_name_exists(page: str) -> None:
+    """A name in code style that the program lacks misleads the reader."""
+    known = CODES | OUTCOMES | COMMANDS | logs.FIELD_NAMES
+    for schema in ('settings', 'daemon'):
+        text = (codec.SCHEMA_DIR / f'{schema}.json').read_text()
+        known |= set(re.findall('"([a-z_]+)"', text))
+    known |= {'retry_after_s', 'library_failure'}
+    for name in CODED.findall(TEXTS[page]):
+        if name.startswith('poplarspoke_'):
+            continue
+        if re.fullmatch('[a-z]+([_-][a-z]+)+', name):
+            assert name in known, name
+
+
+def test_limits_on_the_page() -> None:
+    """A caller sizes requests by these numbers."""
+    assert f'{web.MAX_BODY_BYTES} bytes' in TEXTS['interface']
+    assert f'at most {web.MAX_HEADER_BYTES}' in TEXTS['interface']
+    assert f'({definitions.IN_FORCE_WAIT_S})' in TEXTS['interface']
+    assert f'at most {metrics.MAX_WORKSPACES} work' in TEXTS['interface']
