Bound the dump and check addresses of changes before they are sent

An answer over 262144 bytes is refused by the HTTP layer, so a large state could not be seen at all; fewer entries are shown instead. A change with a wrong address passed the schema. Containers in errors are named by their kind only, since a secret may stand in a wrong place.

--- a/poplarspoke/cli/changing.py
+++ b/poplarspoke/cli/changing.py
@@ -259,7 +259,7 @@
 
 
 def _check_wanted(wanted: Any) -> None:
-    faults = files.find_faults(files.DOCUMENT_SCHEMA, wanted, 'settings')
+    faults = files.find_all_faults(files.DOCUMENT_SCHEMA, wanted, 'settings')
     if faults:
         raise errors.SettingsError('\n'.join(map(files.format_fault, faults)))
 
--- a/poplarspoke/dump.py
+++ b/poplarspoke/dump.py
@@ -18,7 +18,10 @@
 from poplarspoke import logs
 
 MAX_DEPTH = 24
-MAX_ENTRIES = 1000
+# Entries of each list or mapping; the first limit is taken whose output fits
+# into one answer of the operators' interface.
+ENTRY_LIMITS = (1000, 100, 10, 1)
+MAX_DUMP_BYTES = 200000
 MAX_TEXT_CHARACTERS = 512
 AGE_DIGITS = 3
 SECONDS_SUFFIX = '_s'
@@ -70,11 +73,13 @@
     Attributes:
         now_s: Monotonic clock in seconds.
         redactor: Replaces the secrets that this process knows.
+        entries: Entries of each list or mapping that are shown.
         depth: Levels above the value.
     """
 
     now_s: float
     redactor: logs.Redactor
+    entries: int
     depth: int = 0
 
 
@@ -90,7 +95,16 @@
         now_s: Monotonic clock in seconds.
         secrets: Texts that must never come out.
     """
-    scope = Scope(now_s, logs.Redactor(secrets))
+    scope = Scope(now_s, logs.Redactor(secrets), ENTRY_LIMITS[0])
+    payload = b''
+    for entries in ENTRY_LIMITS:
+        payload = _write(states, scope._replace(entries=entries))
+        if len(payload) <= MAX_DUMP_BYTES:
+            break
+    return payload
+
+
+def _write(states: Mapping[str, Any], scope: Scope) -> bytes:
     tasks = {name: convert(state, scope) for name, state in states.items()}
     return json.dumps({'tasks': tasks}, indent=1, sort_keys=True).encode()
 
@@ -162,8 +176,8 @@
     inner = scope._replace(depth=scope.depth + 1)
     shown: list[Any] = []
     for entry in entries:
-        if len(shown) >= MAX_ENTRIES:
-            shown.append(f'{OMITTED} {len(entries) - MAX_ENTRIES} more')
+        if len(shown) >= scope.entries:
+            shown.append(f'{OMITTED} {len(entries) - scope.entries} more')
             break
         shown.append(convert(entry, inner))
     return shown
@@ -175,8 +189,8 @@
     inner = scope._replace(depth=scope.depth + 1)
     shown: dict[str, Any] = {}
     for name, entry in fields:
-        if len(shown) >= MAX_ENTRIES:
-            shown[OMITTED] = f'{count - MAX_ENTRIES} more'
+        if len(shown) >= scope.entries:
+            shown[OMITTED] = f'{count - scope.entries} more'
             break
         field = _convert_name(name, inner)
         if field in SECRET_FIELDS:
--- a/poplarspoke/files.py
+++ b/poplarspoke/files.py
@@ -57,8 +57,7 @@
         errors.SettingsError: The file is missing or wrong.
     """
     source = _read_file(pathlib.Path(path))
-    _raise_faults(find_faults(DAEMON_SCHEMA, source, path))
-    _raise_faults(_find_address_faults(source, path, ''))
+    _raise_faults(find_all_faults(DAEMON_SCHEMA, source, path))
     settings: DaemonSettings = source
     return settings
 
@@ -90,8 +89,7 @@
             _raise_faults(find_faults(DOCUMENT_SCHEMA, source, str(file)))
             continue
         _merge(merged, source, str(file), '')
-    _raise_faults(find_faults(DOCUMENT_SCHEMA, merged, path))
-    _raise_faults(_find_address_faults(merged, path, ''))
+    _raise_faults(find_all_faults(DOCUMENT_SCHEMA, merged, path))
     document: Document = merged  # type: ignore[assignment]
     return document
 
@@ -106,6 +104,18 @@
     return set(source) if isinstance(source, dict) else set()
 
 
+def find_all_faults(schema: str, source: Any, file: str) -> list[Fault]:
+    """Returns what breaks the schema, or else what only code can check.
+
+    Args:
+        schema: Name of a JSON schema of this package.
+        source: Plain data.
+        file: Name of the file, for the faults.
+    """
+    faults = find_faults(schema, source, file)
+    return faults or _find_address_faults(source, file, '')
+
+
 def find_faults(schema: str, source: Any, file: str) -> list[Fault]:
     """Returns everything in plain data that breaks a schema.
 
@@ -311,6 +321,10 @@
 }
 
 
+# Their content may hold secrets that stand in a wrong place.
+CONTAINERS: dict[type, str] = {dict: 'a mapping', list: 'a list'}
+
+
 def _list_names(names: Iterable[str]) -> str:
     listed = list(names)
     if len(listed) <= MAX_NAMES_SHOWN:
@@ -322,6 +336,9 @@
     """Returns a value as text; never one that may be a secret."""
     if SECRET_PARTS.intersection(parts):
         return 'a secret that is not shown'
+    kind = CONTAINERS.get(type(found))
+    if kind is not None:
+        return kind
     shown = json.dumps(found, default=str)
     if len(shown) > MAX_SHOWN_CHARACTERS:
         return f'{shown[:MAX_SHOWN_CHARACTERS]}...'
--- a/tests/test_dump.py
+++ b/tests/test_dump.py
@@ -94,7 +94,7 @@
             'random': random.Random(0),
             'limit': float('inf'),
             ('sfax', 7): {3, 1},
-            'many': list(range(state_dump.MAX_ENTRIES + 5)),
+            'many': list(range(1005)),
         },
     )
     assert shown['code'] == 'overloaded'
@@ -104,6 +104,14 @@
     assert shown['many'][-1] == '[omitted] 5 more'
 
 
+def test_large_state_fits_into_one_answer() -> None:
+    """The interface refuses an answer over its limit, so nothing is seen."""
+    state = {number: {'note': 'x' * 400} for number in range(5000)}
+    payload = state_dump.dump({'t': state}, 1, ())
+    assert len(payload) <= state_dump.MAX_DUMP_BYTES
+    assert json.loads(payload)['tasks']['t'][state_dump.OMITTED]
+
+
 def test_deep_state_ends() -> None:
     """A state that contains itself must not end the daemon."""
     state: dict[str, Any] = {}
--- a/tests/test_files.py
+++ b/tests/test_files.py
@@ -55,6 +55,8 @@
         (':8080', ':99999', ('callers', 'port from 1 to 65535')),
         ('MARKED-peer-secret', 'MARKED-x', ('secrets/peer', '16')),
         ('name: sfax-1', 'name: [MARKED', ('line',)),
+        ('name: sfax-1', 'name: [MARKED]', ('name: found a list',)),
+        ('callers: 127.0.0.1', 'callers: 1', ('IP:port',)),
     ],
 )
 def test_error_names_place_and_remedy(
@@ -109,6 +111,28 @@
 def test_every_fault_of_a_document_is_described(source: object) -> None:
     """A fault that cannot be described would hide the real error."""
     for schema in ('settings', 'daemon'):
-        for fault in files.find_faults(schema, source, 'f'):
+        for fault in files.find_all_faults(schema, source, 'f'):
             assert fault.allowed
             assert files.format_fault(fault).startswith('f: ')
+
+
+@pytest.mark.parametrize(
+    ('text', 'wanted'),
+    [
+        ('teams: {}\nhosts: {a: {zone: z, address: "1:2"}}', 'hosts/a/address'),
+        ('teams: {}\nkeys: {confirmation: evry_zone}', "mean 'every_zone'"),
+        ('teams: {}\nzones: {a: {in_service: yes}}', 'boolean'),
+        ('- MARKED', 'the whole file: found a list'),
+    ],
+)
+def test_document_faults(
+    tmp_path: pathlib.Path, text: str, wanted: str
+) -> None:
+    """Each fault must name its place, and none may repeat a secret."""
+    path = write(tmp_path / 's.yaml', text)
+    with pytest.raises(errors.SettingsError) as caught:
+        files.load_document(path)
+    # The name of the directory is made from the parameters of the test.
+    report = str(caught.value).replace(path, '')
+    assert wanted in report
+    assert 'MARKED' not in report
