--- a/poplarspoke/admission.py
+++ b/poplarspoke/admission.py
@@ -1,7 +1,7 @@
 """Requests that wait for a token: admitted, borrowed for, or refused."""
 
 from poplarspoke import borrowing, buckets
-from poplarspoke.generated.rates import Admitted, AdmitRequest, RateRefused
+from poplarspoke.generated.rates import AdmitRequest, Admitted, RateRefused
 from poplarspoke.shares import Rates, Waiter
 from poplarspoke.tasks import Outgoing, Reply
 
--- a/poplarspoke/cli/documents.py
+++ b/poplarspoke/cli/documents.py
@@ -10,8 +10,7 @@
 from typing import Any, NamedTuple
 
 from poplarspoke import errors, files
-from poplarspoke.generated.operators import ChangeRecord
-
+from poplarspoke.generated.configuration import ChangeRecord
 
 TEAMS = 'teams'
 # Shared parts of the document, each before those that refer to it.
--- a/poplarspoke/cli/execution.py
+++ b/poplarspoke/cli/execution.py
@@ -13,14 +13,12 @@
 from poplarspoke.cli.arguments import Call, Help
 from poplarspoke.cli.client import Client, CommandError, find_access, quote
 from poplarspoke.context import Context
-from poplarspoke.generated.configuration import SettingsSnapshot
-from poplarspoke.generated.operators import (
-    Events,
+from poplarspoke.generated.configuration import (
     HistoryShown,
-    HostsShown,
-    RequestTrace,
     SettingsShown,
+    SettingsSnapshot,
 )
+from poplarspoke.generated.operators import Events, HostsShown, RequestTrace
 from poplarspoke.status import ExitStatus
 
 DAEMON_NAMES = frozenset(('callers', 'operators', 'peers', 'secrets'))
--- a/poplarspoke/cli/output.py
+++ b/poplarspoke/cli/output.py
@@ -7,10 +7,9 @@
 
 from poplarspoke import codec
 from poplarspoke.cli.documents import Blame, Difference
+from poplarspoke.generated.configuration import ChangeRecord, HistoryShown
 from poplarspoke.generated.operators import (
-    ChangeRecord,
     Events,
-    HistoryShown,
     HostsShown,
     HostStatus,
     RequestTrace,
--- a/poplarspoke/keys.py
+++ b/poplarspoke/keys.py
@@ -13,12 +13,12 @@
 from typing import Any, NamedTuple, TypedDict
 
 from poplarspoke import changes, confirmation, errors, invariants
+from poplarspoke.generated.common import Tick
 from poplarspoke.generated.configuration import (
     ResendSettings,
     SettingsFreshness,
     SettingsInForce,
 )
-from poplarspoke.generated.common import Tick
 from poplarspoke.generated.keys import (
     CheckKey,
     KeyAccepted,
--- a/poplarspoke/schema/operators.capnp
+++ b/poplarspoke/schema/operators.capnp
@@ -1,35 +1,6 @@
-@0xb1d0a3f0c0de000a;
+@0xb1d0a3f0c0de0022;
 
 using Common = import "common.capnp";
-using Configuration = import "configuration.capnp";
-
-struct ChangeRecord {
-  # An accepted change as it is kept in the table.
-  version @0 :UInt64;
-  changeId @1 :Text;
-  team @2 :Text;
-  path @3 :Text;
-  content @4 :Text;  # JSON, empty if it is long.
-  digest @5 :Text;  # SHA-256 of path and content, hex.
-  who @6 :Text;
-  why @7 :Text;
-  acceptedAtS @8 :Float64;  # Clock of the table in seconds.
-}
-
-struct HistoryShown {
-  # Changes at, above or below a path, newest first; GET /history?path=P.
-  changes @0 :List(ChangeRecord);
-  oldestVersion @1 :UInt64;  # Older versions were not looked at.
-}
-
-struct SettingsShown {
-  # Settings in force on the asked host; GET /settings.
-  snapshot @0 :Configuration.SettingsSnapshot;
-  inForceForS @1 :Float64;
-  confirmed @2 :Bool;
-  confirmedAgoS @3 :Float64;
-  evidence @4 :Text;
-}
 
 struct HostStatus {
   # State of a host as another one sees it.
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -19,19 +19,19 @@
 from poplarspoke.cli import arguments, changing, definitions, documents, output
 from poplarspoke.generated.common import ErrorCode
 from poplarspoke.generated.configuration import (
+    ChangeRecord,
     ChangeSettings,
+    HistoryShown,
     SettingsChanged,
+    SettingsShown,
     SettingsSnapshot,
 )
 from poplarspoke.generated.operators import (
     AutomaticAct,
-    ChangeRecord,
     Events,
-    HistoryShown,
     HostsShown,
     HostStatus,
     RequestTrace,
-    SettingsShown,
 )
 from poplarspoke.status import ExitStatus
 from tests.test_core import create_context, read_output
