--- a/poplarspoke/connections.py
+++ b/poplarspoke/connections.py
@@ -175,8 +175,11 @@
     ]
     outgoing: list[Outgoing] = []
     for number, connection in state['connections'].items():
-        if connection['holder'] == message.request_id:
-            outgoing.extend(_give_back(state, number, now_s))
+        if connection['holder'] != message.request_id:
+            continue
+        # No exchange was started, so it is as clean as when it was lent.
+        connection['dirty'] = bool(connection['request_id'])
+        outgoing.extend(_give_back(state, number, now_s))
     return outgoing + _serve(state, now_s)
 
 
@@ -368,6 +371,9 @@
     )
     connection['status'] = ConnectionStatus.LENT
     connection['since_s'] = now_s
+    # Only an accepted answer makes it clean again, so that a lost message of
+    # the holder cannot make a used connection look unused.
+    connection['dirty'] = True
     connection['holder'] = acquire.request_id
     connection['workspace'] = acquire.workspace
     connection['transaction'] = acquire.transaction
@@ -394,6 +400,7 @@
 def _set_idle(connection: Connection, now_s: float) -> None:
     connection['status'] = ConnectionStatus.IDLE
     connection['since_s'] = now_s
+    connection['dirty'] = False
     _clear_holder(connection)
 
 
--- a/poplarspoke/schema/connections.capnp
+++ b/poplarspoke/schema/connections.capnp
@@ -33,7 +33,7 @@
 }
 
 struct CancelAcquire {
-  # The caller has left before it got a connection or used it.
+  # The caller has left before it learned of a connection; else use Release.
   requestId @0 :Text;
 }
 
@@ -93,7 +93,7 @@
 }
 
 struct Release {
-  # The holder needs the connection no longer.
+  # The holder needs the connection no longer; closed unless known clean.
   connection @0 :UInt64;
   holder @1 :Text;
 }
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -160,6 +160,7 @@
     pool.lend('other', transaction=True)
     pool.send(Acquire('again', 'other', True, 60))
     pool.send(Acquire('modest', 'modest', True, 60))
+    pool.exchange(number, 'greedy', clean=True)
     messages = pool.send(Release(number, 'greedy'))
     assert messages == [ConnectionLent('modest', number)]
 
@@ -175,6 +176,7 @@
     refused = pool.send(Tick())[0]
     assert isinstance(refused, ConnectionRefused)
     assert refused.refusal.outcome is Outcome.NOT_RUN
+    pool.exchange(number, 'a', clean=True)
     assert not pool.send(Release(number, 'a'))
 
 
@@ -202,6 +204,15 @@
     assert closing in pool.send(Tick())
 
 
+def test_lost_start_of_exchange_closes(pool: Pool) -> None:
+    """Guards against a used connection that looks unused (R3)."""
+    number = pool.lend('first')
+    answered = pool.send(EndExchange('first', number, 'first', True))
+    assert answered == [ExchangeEnded('first', accepted=False)]
+    pool.send(Release(number, 'first'))
+    assert pool.closed() == [CloseReason.DIRTY]
+
+
 def test_foreign_holder_breaks_invariant(pool: Pool) -> None:
     """Guards against a statement on the connection of another holder."""
     number = pool.lend('first')
