--- a/poplarspoke/cli/changing.py
+++ b/poplarspoke/cli/changing.py
@@ -12,7 +12,7 @@
 from poplarspoke.cli.client import Client, CommandError
 from poplarspoke.context import Context
 from poplarspoke.generated.configuration import ChangeSettings, SettingsSnapshot
-from poplarspoke.generated.operators import HostsShown
+from poplarspoke.generated.membership import HostsShown
 from poplarspoke.status import ExitStatus
 
 POLL_PAUSE_S = 0.25
--- a/poplarspoke/cli/execution.py
+++ b/poplarspoke/cli/execution.py
@@ -18,7 +18,8 @@
     SettingsShown,
     SettingsSnapshot,
 )
-from poplarspoke.generated.operators import Events, HostsShown, RequestTrace
+from poplarspoke.generated.membership import HostsShown
+from poplarspoke.generated.operators import Events, RequestTrace
 from poplarspoke.status import ExitStatus
 
 DAEMON_NAMES = frozenset(('callers', 'operators', 'peers', 'secrets'))
--- a/poplarspoke/cli/output.py
+++ b/poplarspoke/cli/output.py
@@ -8,12 +8,8 @@
 from poplarspoke import codec
 from poplarspoke.cli.documents import Blame, Difference
 from poplarspoke.generated.configuration import ChangeRecord, HistoryShown
-from poplarspoke.generated.operators import (
-    Events,
-    HostsShown,
-    HostStatus,
-    RequestTrace,
-)
+from poplarspoke.generated.membership import HostsShown, HostStatus
+from poplarspoke.generated.operators import Events, RequestTrace
 
 INDENT = 2
 
--- a/poplarspoke/dispatch.py
+++ b/poplarspoke/dispatch.py
@@ -19,13 +19,15 @@
     EndpointObserved,
     EndpointService,
     EndpointsInService,
-    EndpointViews,
-    LiveHosts,
     PlanStatement,
     StatementPlan,
 )
 from poplarspoke.generated.failover import CandidateRank, PrimaryAnnounced
-from poplarspoke.generated.membership import EndpointView
+from poplarspoke.generated.membership import (
+    EndpointView,
+    EndpointViews,
+    HostsChanged,
+)
 from poplarspoke.generated.requests import Repeat, Statement
 from poplarspoke.generated.routing import Candidate, RouteChoice, RouteQuery
 from poplarspoke.generated.sessions import Session
@@ -33,6 +35,7 @@
 from poplarspoke.tasks import Outgoing, Reply, ToTask
 
 FAILOVER_TASK = 'failover'
+MEMBERSHIP_TASK = 'membership'
 # A view that nobody renewed for this long no longer shows a reachable endpoint.
 VIEW_VALID_S = 3.0
 REPEATS = {
@@ -81,6 +84,7 @@
         routes: Routes of all workspaces.
         places: Endpoints of the settings.
         observations: Latest view of each endpoint.
+        observed: Endpoints that this host observes itself.
         primaries: Primary with the highest known term by database.
         service: Service state of each endpoint.
         hosts: Live hosts, sorted.
@@ -93,6 +97,7 @@
     routes: dict[RouteName, Route]
     places: dict[str, Place]
     observations: dict[str, Observation]
+    observed: set[str]
     primaries: dict[str, Primary]
     service: dict[str, EndpointService]
     hosts: tuple[str, ...]
@@ -108,6 +113,7 @@
         routes={},
         places={},
         observations={},
+        observed=set(),
         primaries={},
         service={},
         hosts=(host,),
@@ -123,7 +129,15 @@
 
 @decide.register
 def _(message: Tick, state: DispatchState, now_s: float) -> list[Outgoing]:
-    return []
+    views: list[EndpointView] = []
+    for endpoint in sorted(state['observed']):
+        known = state['observations'][endpoint]
+        observed_ago_s = now_s - known.at_s
+        if observed_ago_s >= VIEW_VALID_S:
+            state['observed'].discard(endpoint)
+            continue
+        views.append(known.view._replace(observed_ago_s=observed_ago_s))
+    return [ToTask(MEMBERSHIP_TASK, EndpointViews(tuple(views)))]
 
 
 @decide.register
@@ -157,6 +171,7 @@
     now_s: float,
 ) -> list[Outgoing]:
     _observe(message.view, state, now_s)
+    state['observed'].add(message.view.endpoint)
     return []
 
 
@@ -167,7 +182,8 @@
     now_s: float,
 ) -> list[Outgoing]:
     for view in message.views:
-        _observe(view, state, now_s)
+        if view.endpoint not in state['observed']:
+            _observe(view, state, now_s)
     return []
 
 
@@ -184,8 +200,17 @@
 
 
 @decide.register
-def _(message: LiveHosts, state: DispatchState, now_s: float) -> list[Outgoing]:
-    hosts = tuple(sorted({*message.hosts, state['host']}))
+def _(
+    message: HostsChanged,
+    state: DispatchState,
+    now_s: float,
+) -> list[Outgoing]:
+    live = [
+        entry.host
+        for entry in message.hosts
+        if entry.live and not entry.leaving
+    ]
+    hosts = tuple(sorted({*live, state['host']}))
     if hosts == state['hosts']:
         return []
     state['hosts'] = hosts
--- a/poplarspoke/schema/dispatch.capnp
+++ b/poplarspoke/schema/dispatch.capnp
@@ -31,16 +31,6 @@
   view @0 :Membership.EndpointView;
 }
 
-struct EndpointViews {
-  # Observations that a peer sent with its heartbeat.
-  views @0 :List(Membership.EndpointView);
-}
-
-struct LiveHosts {
-  # Hosts that may own endpoints.
-  hosts @0 :List(Text);
-}
-
 struct EndpointsInService {
   # Endpoints that get work, with the time since their return.
   endpoints @0 :List(EndpointService);
--- a/poplarspoke/schema/operators.capnp
+++ b/poplarspoke/schema/operators.capnp
@@ -2,24 +2,6 @@
 
 using Common = import "common.capnp";
 
-struct HostStatus {
-  # State of a host as another one sees it.
-  host @0 :Text;
-  zone @1 :Text;
-  address @2 :Text;  # IP:port of the peer listener.
-  live @3 :Bool;
-  suspect @4 :Bool;
-  leaving @5 :Bool;
-  settingsVersion @6 :UInt64;
-  heardAgoS @7 :Float64;
-}
-
-struct HostsShown {
-  # State of every host; GET /hosts.
-  hosts @0 :List(HostStatus);
-  reachableZones @1 :List(Text);
-}
-
 struct AutomaticAct {
   # Something the system did on its own, with its evidence.
   atS @0 :Float64;  # Wall clock in seconds since 1970.
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -26,13 +26,8 @@
     SettingsShown,
     SettingsSnapshot,
 )
-from poplarspoke.generated.operators import (
-    AutomaticAct,
-    Events,
-    HostsShown,
-    HostStatus,
-    RequestTrace,
-)
+from poplarspoke.generated.membership import HostsShown, HostStatus
+from poplarspoke.generated.operators import AutomaticAct, Events, RequestTrace
 from poplarspoke.status import ExitStatus
 from tests.test_core import create_context, read_output
 
