Add the metrics task, and record the decisions on commands and logs

The metrics need a task that owns them and answers GET /metrics. Statuses 3 and 4 said that nothing was changed, which is not so for the later steps of "apply". Tests now cover lost answers and what libraries log.

--- a/poplarspoke/metrics.py
+++ b/poplarspoke/metrics.py
@@ -12,18 +12,23 @@
 import prometheus_client as prometheus
 
 from poplarspoke import codec
+from poplarspoke.generated.common import Tick
 from poplarspoke.generated.operators import (
     AdmissionCounted,
     CallersObserved,
     ConnectionsObserved,
     FailoverCounted,
     LeaseObserved,
+    MetricsShown,
     QueueTimeCounted,
     ReadCounted,
     ServiceCounted,
     SettingsObserved,
+    ShowMetrics,
 )
+from poplarspoke.tasks import Outgoing, Reply
 
+TASK = 'metrics'
 # A workspace has about 20 series, at most 1 KiB each as text.
 MAX_WORKSPACES = 256
 # A host owns few endpoints: 1890 over 410 hosts at the target, under 50 each.
@@ -164,6 +169,30 @@
     return prometheus.generate_latest(metrics.registry)
 
 
+@functools.singledispatch
+def decide(message: Any, state: Metrics, now_s: float) -> list[Outgoing]:
+    """Handles one message of the metrics task.
+
+    Args:
+        message: ``ShowMetrics``, or a message that ``record`` counts.
+        state: Metrics that are changed in place.
+        now_s: Monotonic clock in seconds.
+    """
+    record(message, state)
+    return []
+
+
+@decide.register
+def _(message: Tick, state: Metrics, now_s: float) -> list[Outgoing]:
+    return []
+
+
+@decide.register
+def _(message: ShowMetrics, state: Metrics, now_s: float) -> list[Outgoing]:
+    shown = MetricsShown(render(state).decode())
+    return [Reply(message.request_id, shown)]
+
+
 @functools.singledispatch
 def record(message: Any, metrics: Metrics) -> None:
     """Updates the metrics with a message, by its type."""
--- a/poplarspoke/schema/operators.capnp
+++ b/poplarspoke/schema/operators.capnp
@@ -143,3 +143,13 @@
   version @0 :UInt64;
   confirmedAgoS @1 :Float64;
 }
+
+struct ShowMetrics {
+  # Asks the metrics task for the text of GET /metrics.
+  requestId @0 :Text;
+}
+
+struct MetricsShown {
+  # Answer to ShowMetrics.
+  text @0 :Text;  # Text format of Prometheus.
+}
--- a/poplarspoke/status.py
+++ b/poplarspoke/status.py
@@ -12,11 +12,13 @@
     INTERNAL = 1
     # The command line names an unknown command or option, or lacks one.
     USAGE = 2
-    # A file, a value or a change was refused; nothing was changed.
+    # A file, a value or a change was refused; what was not printed as
+    # accepted has not been changed.
     REFUSED = 3
-    # Somebody else's change came first; nothing was changed.
+    # Somebody else's change came first; what was not printed as accepted
+    # has not been changed.
     CONFLICT = 4
-    # No daemon answered, so that nothing is known to have happened.
+    # No daemon answered; a change that was sent may be in force.
     UNREACHABLE = 5
     # The change was accepted but is not in force on every host yet.
     NOT_IN_FORCE = 6
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -77,6 +77,7 @@
         self.behind: list[HostStatus] = []
         self.changes: list[ChangeSettings] = []
         self.refusal: ErrorCode | None = None
+        self.lost_answers = 0
         self.port = 0
 
     async def handle(self, request: web.Request) -> web.Response:
@@ -143,6 +144,9 @@
         self.document = documents.replace_at(
             self.document, change.path, json.loads(change.content)
         )
+        if self.lost_answers:
+            self.lost_answers -= 1
+            raise anyio.EndOfStream
         answer = SettingsChanged(change.change_id, self.version)
         return web.Response(200, web.write_json(answer))
 
@@ -314,6 +318,27 @@
     assert daemon.document['zones']['Sfax']['in_service'] is False
 
 
+def test_lost_answer_is_repeated_with_the_same_id(
+    run: Run,
+    daemon: FakeDaemon,
+) -> None:
+    """A second id would make a second change after an effect without answer."""
+    daemon.lost_answers = 1
+    status, _, report = run('zone-out', 'Sfax', *BY_WHOM)
+    assert (status, report) == (ExitStatus.SUCCESS, '')
+    first, second = daemon.changes
+    assert first == second
+
+
+def test_no_answer_is_not_success(run: Run, daemon: FakeDaemon) -> None:
+    """A key whose digest may not be in force must not be shown."""
+    daemon.lost_answers = 9
+    status, text, report = run('create-key', 'baguette', *BY_WHOM)
+    assert status is ExitStatus.UNREACHABLE
+    assert 'pk_' not in text
+    assert 'it may be in force' in report
+
+
 def test_same_proposal_has_same_change_id() -> None:
     """The platform recognises a repeat by the change id only."""
     step = documents.Step('a', {})
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -2,6 +2,7 @@
 
 import io
 import json
+import logging
 from typing import Any
 
 import pytest
@@ -74,3 +75,17 @@
     log.bind(request_id='r1').info('a')
     log.info('b')
     assert 'request_id' not in read_lines(stream)[1]
+
+
+def test_libraries_write_neither_text_nor_traceback() -> None:
+    """The event loop logs failed tasks with their text and traceback."""
+    stream = io.StringIO()
+    library = logging.getLogger('asyncio')
+    exc = ValueError(SECRET)
+    with logs.LibraryCapture(create_log(stream)):
+        library.error('statement %s', 'MARKED-VALUE', exc_info=exc)
+        library.warning('MARKED-VALUE')
+    failure, message = read_lines(stream)
+    assert (failure['library'], failure['error']) == ('asyncio', 'ValueError')
+    assert message['event'] == 'library_message'
+    assert 'MARKED' not in stream.getvalue()
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -5,6 +5,7 @@
 from poplarspoke import metrics as metric
 from poplarspoke.generated import operators
 from poplarspoke.generated.common import ErrorCode
+from poplarspoke.tasks import Reply
 
 COUNTED = (
     (operators.ReadCounted(replica=True), 'reads_total{role="replica"} 1.0'),
@@ -46,6 +47,16 @@
     assert f'poplarspoke_{line}\n' in metric.render(metrics).decode()
 
 
+def test_task_answers_with_what_it_counted() -> None:
+    """GET /metrics is served from this answer."""
+    metrics = metric.create_metrics()
+    assert metric.decide(operators.CallersObserved(9), metrics, 1) == []
+    reply = metric.decide(operators.ShowMetrics('r1'), metrics, 1)[0]
+    assert isinstance(reply, Reply)
+    assert reply.request_id == 'r1'
+    assert 'poplarspoke_caller_connections 9.0' in reply.message.text
+
+
 def test_unknown_message_is_an_error() -> None:
     """A new message without a counter must be noticed."""
     with pytest.raises(TypeError):
