Name the file of each fault in a directory of settings

A fault in a directory named the directory only. Also dispatches redaction and the four in-service commands by type instead of isinstance.

--- a/poplarspoke/cli/changing.py
+++ b/poplarspoke/cli/changing.py
@@ -148,21 +148,44 @@
     return _create(command, f'{path}/revoked', content=True)
 
 
-@propose.register(definitions.ZoneOut)
-@propose.register(definitions.ZoneIn)
-def _(command: Any, document: Any, context: Context) -> Proposal:
-    path = f'zones/{command.zone}'
-    _check_known(document, path, 'zone', command.zone)
-    in_service = isinstance(command, definitions.ZoneIn)
-    return _create(command, f'{path}/in_service', in_service)
-
-
-@propose.register(definitions.EndpointOut)
-@propose.register(definitions.EndpointIn)
-def _(command: Any, document: Any, context: Context) -> Proposal:
+@propose.register
+def _(
+    command: definitions.ZoneOut,
+    document: Any,
+    context: Context,
+) -> Proposal:
+    path = _find_zone(document, command.zone)
+    return _create(command, f'{path}/in_service', content=False)
+
+
+@propose.register
+def _(
+    command: definitions.ZoneIn,
+    document: Any,
+    context: Context,
+) -> Proposal:
+    path = _find_zone(document, command.zone)
+    return _create(command, f'{path}/in_service', content=True)
+
+
+@propose.register
+def _(
+    command: definitions.EndpointOut,
+    document: Any,
+    context: Context,
+) -> Proposal:
+    path = _find_endpoint(document, command.endpoint)
+    return _create(command, f'{path}/in_service', content=False)
+
+
+@propose.register
+def _(
+    command: definitions.EndpointIn,
+    document: Any,
+    context: Context,
+) -> Proposal:
     path = _find_endpoint(document, command.endpoint)
-    in_service = isinstance(command, definitions.EndpointIn)
-    return _create(command, f'{path}/in_service', in_service)
+    return _create(command, f'{path}/in_service', content=True)
 
 
 async def submit(
@@ -314,6 +337,12 @@
     raise _missing('workspace', name, names)
 
 
+def _find_zone(document: Any, name: str) -> str:
+    path = f'zones/{name}'
+    _check_known(document, path, 'zone', name)
+    return path
+
+
 def _find_endpoint(document: Any, name: str) -> str:
     names: list[str] = []
     for database, group in document.get('databases', {}).items():
--- a/poplarspoke/files.py
+++ b/poplarspoke/files.py
@@ -47,6 +47,13 @@
     remedy: str = 'correct the value'
 
 
+class Part(NamedTuple):
+    """One file of a settings document."""
+
+    file: str
+    source: Any
+
+
 def load_daemon(path: str) -> DaemonSettings:
     """Returns the settings of a daemon process.
 
@@ -82,18 +89,39 @@
         raise errors.SettingsError(
             f'{path}: no YAML file; add a file that ends in .yaml',
         )
+    parts = [Part(str(file), _read_file(file)) for file in files]
     merged: dict[str, Any] = {}
-    for file in files:
-        source = _read_file(file)
-        if not isinstance(source, dict):
-            _raise_faults(find_faults(DOCUMENT_SCHEMA, source, str(file)))
+    for part in parts:
+        if not isinstance(part.source, dict):
+            _raise_faults(find_faults(DOCUMENT_SCHEMA, part.source, part.file))
             continue
-        _merge(merged, source, str(file), '')
-    _raise_faults(find_all_faults(DOCUMENT_SCHEMA, merged, path))
+        _merge(merged, part.source, part.file, '')
+    _raise_faults(
+        [
+            fault._replace(file=_find_file(parts, fault.path))
+            for fault in find_all_faults(DOCUMENT_SCHEMA, merged, path)
+        ]
+    )
     document: Document = merged  # type: ignore[assignment]
     return document
 
 
+def _find_file(parts: list[Part], path: str) -> str:
+    """Returns the file that holds most of a path."""
+    depths = [_measure_depth(part.source, path) for part in parts]
+    return parts[depths.index(max(depths))].file
+
+
+def _measure_depth(source: Any, path: str) -> int:
+    depth = 0
+    for name in path.split('/'):
+        if not isinstance(source, dict) or name not in source:
+            break
+        source = source[name]
+        depth += 1
+    return depth
+
+
 def list_names(path: str) -> set[str]:
     """Returns the names at the top of a YAML file.
 
--- a/poplarspoke/logs.py
+++ b/poplarspoke/logs.py
@@ -7,6 +7,7 @@
 """
 
 import copy
+import functools
 import json
 import logging
 import re
@@ -86,18 +87,29 @@
         text = KEY_PATTERN.sub(rf'\1{REPLACEMENT}', text)
         return BEARER_PATTERN.sub(rf'\1{REPLACEMENT}', text)
 
-    def redact_all(self, node: Any) -> Any:
-        """Returns plain data with every text in it redacted."""
-        if isinstance(node, str):
-            return self.redact(node)[:MAX_TEXT_CHARACTERS]
-        if isinstance(node, list):
-            return [self.redact_all(entry) for entry in node]
-        if isinstance(node, dict):
-            return {
-                self.redact(str(name)): self.redact_all(entry)
-                for name, entry in node.items()
-            }
-        return node
+
+@functools.singledispatch
+def redact_all(node: Any, redactor: Redactor) -> Any:
+    """Returns plain data with every text in it redacted."""
+    return node
+
+
+@redact_all.register
+def _(node: str, redactor: Redactor) -> Any:
+    return redactor.redact(node)[:MAX_TEXT_CHARACTERS]
+
+
+@redact_all.register
+def _(node: list, redactor: Redactor) -> Any:  # type: ignore[type-arg]
+    return [redact_all(entry, redactor) for entry in node]
+
+
+@redact_all.register
+def _(node: dict, redactor: Redactor) -> Any:  # type: ignore[type-arg]
+    return {
+        redactor.redact(str(name)): redact_all(entry, redactor)
+        for name, entry in node.items()
+    }
 
 
 class Log:
@@ -176,7 +188,7 @@
             line[name] = entry
         if omitted:
             line['omitted'] = sorted(omitted)
-        plain = self._redactor.redact_all(codec.to_object(line))
+        plain = redact_all(codec.to_object(line), self._redactor)
         self._logger.log(level, json.dumps(plain, default=_name_type))
 
 
--- a/tests/test_context.py
+++ b/tests/test_context.py
@@ -5,6 +5,8 @@
 import subprocess
 import sys
 
+import pytest
+
 from poplarspoke import context as contexts
 from poplarspoke.generated.daemon import DaemonSettings
 from tests.test_core import create_context
@@ -37,6 +39,7 @@
     assert text.count('"host": "sfax-1", "zone": "Sfax"') == 3
 
 
+@pytest.mark.processes
 def test_start_imports_no_library_of_the_command_line() -> None:
     """A daemon has 32 MB for control; these would stay in its memory."""
     code = (
@@ -55,6 +58,7 @@
     assert ended.stdout == 'set()\n'
 
 
+@pytest.mark.processes
 def test_program_reports_without_traceback() -> None:
     """The exit status and the single error line are what scripts see."""
     ended = subprocess.run(
--- a/tests/test_files.py
+++ b/tests/test_files.py
@@ -98,6 +98,18 @@
         files.load_document(str(tmp_path))
 
 
+def test_fault_in_a_directory_names_the_file(tmp_path: pathlib.Path) -> None:
+    """An operator must not have to search all files of a directory."""
+    write(tmp_path / 'a.yaml', 'teams: {x: {workspaces: {w: {rate: 1}}}}')
+    write(tmp_path / 'b.yaml', 'zones: {z: {in_service: 7}}')
+    with pytest.raises(errors.SettingsError) as caught:
+        files.load_document(str(tmp_path))
+    lines = str(caught.value).splitlines()
+    assert len(lines) == 2
+    assert 'a.yaml: teams/x/workspaces/w: found no burst' in lines[0]
+    assert 'b.yaml: zones/z/in_service: found 7' in lines[1]
+
+
 @given(st.one_of(st.binary(), st.text().map(str.encode)))
 def test_reader_raises_only_coded_errors(payload: bytes) -> None:
     """Any other exception would reach an operator as a fault of the program."""
