Correct the remedy of an ended transaction

The code is also used for statements after a commit, where 'this one was rolled back' is untrue; the detail names how the transaction ended.

--- a/poplarspoke/errors.py
+++ b/poplarspoke/errors.py
@@ -101,7 +101,7 @@
     ErrorCode.TRANSACTION_ENDED: ErrorKind(
         Outcome.NOT_RUN,
         http.HTTPStatus.CONFLICT,
-        'begin a new transaction; this one was rolled back',
+        'begin a new transaction; this one has ended',
     ),
     ErrorCode.CONFLICT: ErrorKind(
         Outcome.NOT_RUN,
