--- a/poplarspoke/execution.py
+++ b/poplarspoke/execution.py
@@ -227,6 +227,7 @@
         replica=not statement.write and not statement.confirm,
         transaction=statement.transaction,
         queued=answer.queued,
+        database=statement.database,
     )
 
 
--- a/poplarspoke/schema/operators.capnp
+++ b/poplarspoke/schema/operators.capnp
@@ -106,3 +106,14 @@
   # Answer to ShowMetrics.
   text @0 :Text;  # Text format of Prometheus.
 }
+
+struct ShowEvents {
+  # Asks for the recent automatic acts.
+  requestId @0 :Text;
+}
+
+struct ShowTrace {
+  # Asks how this host handled a recent request.
+  requestId @0 :Text;
+  traceId @1 :Text;  # Request id of the caller.
+}
--- a/poplarspoke/schema/requests.capnp
+++ b/poplarspoke/schema/requests.capnp
@@ -73,6 +73,7 @@
   refusal @8 :Common.Refusal;
   refused @9 :Bool;
   queued @10 :UInt32;  # Statements that waited for a slot of the endpoint.
+  database @11 :Text;
 }
 
 struct CallerAnswer {
