--- /dev/null
+++ b/poplarspoke/drains.py
@@ -0,0 +1,315 @@
+"""Decisions on zones, endpoints and hosts that leave and return.
+
+What operators took out of service gets no new work from the moment the
+settings are in force. Every message names the setting or event behind it.
+"""
+
+import functools
+import json
+from typing import Any, NamedTuple, TypedDict
+
+from poplarspoke.generated.common import Tick
+from poplarspoke.generated.configuration import SettingsInForce
+from poplarspoke.generated.drains import (
+    BeginShutdown,
+    EndpointLeaving,
+    EndpointWeight,
+    EndTransactions,
+    HandOver,
+    PrimaryKnown,
+    ReadyChanged,
+    ReleaseLeases,
+    ShutdownFinished,
+    ShutdownPhase,
+    StopAccepting,
+    WeightsChanged,
+    WorkCount,
+)
+from poplarspoke.generated.membership import LeaveFleet
+from poplarspoke.generated.settings import Document
+from poplarspoke.tasks import Outgoing, ToTask
+
+GRACE_S = 10.0
+RAMP_S = 30.0
+FIRST_WEIGHT = 0.1
+# A failover may fail while members are down.
+HAND_OVER_INTERVAL_S = 1.0
+LOAD_BALANCER_S = 2.0
+
+
+class Served(NamedTuple):
+    """An endpoint as the settings and its own word describe it.
+
+    Attributes:
+        endpoint: Its name.
+        database: Its database.
+        out_reason: Why it gets no new work, empty if it gets some.
+        changed_at_s: When it left or returned, 0 if it never left.
+        ended: Whether its transactions were told to end since it left.
+    """
+
+    endpoint: str
+    database: str
+    out_reason: str
+    changed_at_s: float
+    ended: bool = False
+
+
+class DrainsState(TypedDict):
+    """State of what leaves and returns, as one host sees it.
+
+    Attributes:
+        zone: Zone of this host.
+        subscribers: Tasks that learn the weights of endpoints.
+        version: Settings version that the state is made from.
+        document: Its document.
+        served: Endpoints by name.
+        leaving: Endpoints that leave on their own.
+        primaries: Endpoint of the primary by database.
+        asked_at_s: When a database was last asked to change its primary.
+        weights: Last published weights.
+        ready: Last published readiness.
+        phase: Step of the shutdown of this host.
+        phase_at_s: When that step began.
+        work: Open work by task.
+    """
+
+    zone: str
+    subscribers: tuple[str, ...]
+    version: int
+    document: Document
+    served: dict[str, Served]
+    leaving: set[str]
+    primaries: dict[str, str]
+    asked_at_s: dict[str, float]
+    weights: tuple[EndpointWeight, ...]
+    ready: ReadyChanged
+    phase: ShutdownPhase
+    phase_at_s: float
+    work: dict[str, int]
+
+
+def create_state(*, zone: str, subscribers: tuple[str, ...]) -> DrainsState:
+    """Returns the state of a host that knows no settings yet.
+
+    Args:
+        zone: Zone of this host.
+        subscribers: Tasks that learn the weights of endpoints.
+    """
+    return DrainsState(
+        zone=zone,
+        subscribers=subscribers,
+        version=0,
+        document=Document(teams={}),
+        served={},
+        leaving=set(),
+        primaries={},
+        asked_at_s={},
+        weights=(),
+        ready=ReadyChanged(),
+        phase=ShutdownPhase.SERVING,
+        phase_at_s=0,
+        work={},
+    )
+
+
+def decide(message: Any, state: DrainsState, now_s: float) -> list[Outgoing]:
+    """Handles one message.
+
+    Args:
+        message: Settings, news of endpoints and work, or a shutdown.
+        state: State that is changed in place.
+        now_s: Monotonic clock in seconds.
+    """
+    handle(message, state, now_s)
+    return [
+        *_publish_weights(state, now_s),
+        *_publish_readiness(state),
+        *_hand_over(state, now_s),
+        *_end_transactions(state, now_s),
+        *_advance_shutdown(state, now_s),
+    ]
+
+
+@functools.singledispatch
+def handle(message: Any, state: DrainsState, now_s: float) -> None:
+    """Notes one message by its type; ``decide`` does what follows."""
+    raise TypeError(f'{type(message).__name__} is no message of drains')
+
+
+@handle.register
+def _(message: Tick, state: DrainsState, now_s: float) -> None:
+    """Notes nothing; time has passed."""
+
+
+@handle.register
+def _(message: SettingsInForce, state: DrainsState, now_s: float) -> None:
+    if message.snapshot.version <= state['version']:
+        return
+    state['version'] = message.snapshot.version
+    state['document'] = json.loads(message.snapshot.document)
+    _update_served(state, now_s)
+
+
+@handle.register
+def _(message: EndpointLeaving, state: DrainsState, now_s: float) -> None:
+    state['leaving'].discard(message.endpoint)
+    if message.leaving:
+        state['leaving'].add(message.endpoint)
+    _update_served(state, now_s)
+
+
+@handle.register
+def _(message: PrimaryKnown, state: DrainsState, now_s: float) -> None:
+    state['primaries'][message.database] = message.endpoint
+
+
+@handle.register
+def _(message: WorkCount, state: DrainsState, now_s: float) -> None:
+    state['work'][message.task] = message.open
+
+
+@handle.register
+def _(message: BeginShutdown, state: DrainsState, now_s: float) -> None:
+    if state['phase'] is ShutdownPhase.SERVING:
+        state['phase'] = ShutdownPhase.WAITING
+        state['phase_at_s'] = now_s
+
+
+def get_weight(served: Served, now_s: float) -> float:
+    """Returns the share of new work, which grows after a return."""
+    if served.out_reason:
+        return 0
+    if not served.changed_at_s:
+        return 1
+    grown = (now_s - served.changed_at_s) / RAMP_S
+    return min(FIRST_WEIGHT + (1 - FIRST_WEIGHT) * grown, 1)
+
+
+def _update_served(state: DrainsState, now_s: float) -> None:
+    served = {}
+    for database, group in state['document'].get('databases', {}).items():
+        for name in group['endpoints']:
+            reason = _find_out_reason(state, database, name)
+            before = state['served'].get(name)
+            served[name] = Served(name, database, reason, 0)
+            if before is not None or reason:
+                served[name] = _update_one(served[name], before, now_s)
+    state['served'] = served
+
+
+def _update_one(served: Served, before: Served | None, now_s: float) -> Served:
+    if before is None:
+        return served._replace(changed_at_s=now_s)
+    if bool(before.out_reason) != bool(served.out_reason):
+        return served._replace(changed_at_s=now_s)
+    return before._replace(out_reason=served.out_reason)
+
+
+def _find_out_reason(state: DrainsState, database: str, name: str) -> str:
+    document = state['document']
+    endpoint = document['databases'][database]['endpoints'][name]
+    zone = endpoint['zone']
+    if not endpoint['in_service']:
+        return (
+            f'databases/{database}/endpoints/{name}/in_service is false in '
+            f'version {state["version"]}'
+        )
+    if not document.get('zones', {})[zone]['in_service']:
+        return f'zones/{zone}/in_service is false in version {state["version"]}'
+    if name in state['leaving']:
+        return f'endpoint {name} said that it leaves'
+    return ''
+
+
+def _publish_weights(state: DrainsState, now_s: float) -> list[Outgoing]:
+    weights = tuple(
+        EndpointWeight(
+            served.endpoint,
+            served.database,
+            get_weight(served, now_s),
+            served.out_reason,
+        )
+        for served in state['served'].values()
+    )
+    if weights == state['weights']:
+        return []
+    state['weights'] = weights
+    changed = WeightsChanged(weights)
+    return [ToTask(name, changed) for name in state['subscribers']]
+
+
+def _publish_readiness(state: DrainsState) -> list[Outgoing]:
+    ready = _describe_readiness(state)
+    if ready == state['ready']:
+        return []
+    state['ready'] = ready
+    return [ToTask('operators', ready)]
+
+
+def _describe_readiness(state: DrainsState) -> ReadyChanged:
+    if state['phase'] is not ShutdownPhase.SERVING:
+        return ReadyChanged(ready=False, reason='the host shuts down')
+    if not state['version']:
+        return ReadyChanged(ready=False, reason='no settings are known')
+    zone = state['document'].get('zones', {}).get(state['zone'])
+    if zone is not None and not zone['in_service']:
+        reason = f'zones/{state["zone"]}/in_service is false'
+        return ReadyChanged(ready=False, reason=reason)
+    return ReadyChanged(ready=True)
+
+
+def _hand_over(state: DrainsState, now_s: float) -> list[Outgoing]:
+    """Asks for a new primary while one is out of service."""
+    outgoing: list[Outgoing] = []
+    for database, endpoint in state['primaries'].items():
+        served = state['served'].get(endpoint)
+        if served is None or not served.out_reason:
+            continue
+        asked_at_s = state['asked_at_s'].get(endpoint, -HAND_OVER_INTERVAL_S)
+        if now_s - asked_at_s < HAND_OVER_INTERVAL_S:
+            continue
+        state['asked_at_s'][endpoint] = now_s
+        request = HandOver(database, endpoint, served.out_reason)
+        outgoing.append(ToTask('failover', request))
+    return outgoing
+
+
+def _end_transactions(state: DrainsState, now_s: float) -> list[Outgoing]:
+    outgoing: list[Outgoing] = []
+    for name, served in state['served'].items():
+        if not served.out_reason or served.ended:
+            continue
+        if now_s - served.changed_at_s < GRACE_S:
+            continue
+        state['served'][name] = served._replace(ended=True)
+        request = EndTransactions(name, served.out_reason)
+        outgoing.append(ToTask('transactions', request))
+    return outgoing
+
+
+def _advance_shutdown(state: DrainsState, now_s: float) -> list[Outgoing]:
+    waited_s = now_s - state['phase_at_s']
+    if state['phase'] is ShutdownPhase.WAITING:
+        if waited_s < LOAD_BALANCER_S:
+            return []
+        state['phase'] = ShutdownPhase.FINISHING
+        state['phase_at_s'] = now_s
+        return [
+            ToTask('callers', StopAccepting()),
+            ToTask('membership', LeaveFleet()),
+        ]
+    if state['phase'] is not ShutdownPhase.FINISHING:
+        return []
+    open_work = sum(state['work'].values())
+    if open_work and waited_s < GRACE_S:
+        return []
+    state['phase'] = ShutdownPhase.FINISHED
+    outgoing: list[Outgoing] = [
+        ToTask('rates', ReleaseLeases()),
+        ToTask('daemon', ShutdownFinished(open_work)),
+    ]
+    if open_work:
+        request = EndTransactions(reason='the host shuts down')
+        outgoing.insert(0, ToTask('transactions', request))
+    return outgoing
--- a/poplarspoke/membership.py
+++ b/poplarspoke/membership.py
@@ -404,7 +404,11 @@
             continue
         own = sorted(by_zone[state['zone']])
         links = SMALL_FLEET_LINKS if small else 1
-        peers.update(_match(own, sorted(names), state['host'], links))
+        place = own.index(state['host'])
+        if (len(own), state['zone']) > (len(names), zone):
+            peers.update(_choose_forward(place, sorted(names), links))
+        else:
+            peers.update(_choose_back(place, sorted(names), links, len(own)))
     return sorted(peers - {state['host']})
 
 
@@ -418,23 +422,30 @@
     return chosen
 
 
-def _match(
-    own: list[str],
+def _choose_forward(place: int, others: list[str], links: int) -> list[str]:
+    """Returns the links of a host of the larger zone to the smaller one."""
+    size = len(others)
+    return [others[(place + step) % size] for step in range(min(links, size))]
+
+
+def _choose_back(
+    place: int,
     others: list[str],
-    host: str,
     links: int,
+    size: int,
 ) -> list[str]:
-    """Links two zones so that each host of both has a link, both ways."""
-    place = own.index(host)
-    if len(own) >= len(others):
-        return [
-            others[(place + step) % len(others)]
-            for step in range(min(links, len(others)))
-        ]
+    """Returns the same links from the side of the smaller zone.
+
+    Args:
+        place: Place of this host in its zone.
+        others: Hosts of the larger zone.
+        links: Links of each of them.
+        size: Number of hosts of the own zone.
+    """
     return [
         name
         for index, name in enumerate(others)
-        if (place - index) % len(own) < min(links, len(own))
+        if (place - index) % size < min(links, size)
     ]
 
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -109,7 +109,7 @@
             'keys': keys.create_state(),
         }
         for task in DECIDE:
-            self._post(0, host, task, Tick())
+            self.post(0, host, task, Tick())
 
     def submit(
         self,
@@ -131,7 +131,7 @@
             base_version=base_version,
             request_id=f'{change_id}@{host}',
         )
-        self._post(0, host, 'configuration', message)
+        self.post(0, host, 'configuration', message)
 
     def revoke(self, host: str, key_id: str, change_id: str) -> None:
         """Submits the revocation of a key."""
@@ -164,7 +164,8 @@
         """Returns whether two zones, or a zone and the platform, are cut."""
         return frozenset((one, other)) in self.cuts
 
-    def _post(self, delay_s: float, host: str, task: str, sent: Any) -> None:
+    def post(self, delay_s: float, host: str, task: str, sent: Any) -> None:
+        """Puts a message on its way to a task of a host."""
         self._number += 1
         event = Event(
             self.now_s + delay_s,
@@ -181,7 +182,7 @@
         for out in DECIDE[event.task](event.message, state, self.now_s):
             self._deliver(out, event)
         if isinstance(event.message, Tick):
-            self._post(TICK_S, event.host, event.task, Tick())
+            self.post(TICK_S, event.host, event.task, Tick())
         version = self.version(event.host)
         assert version >= self.versions[event.host]
         self.versions[event.host] = version
@@ -193,7 +194,7 @@
         if isinstance(out, Reply):
             self.replies[out.request_id] = out.message
         if isinstance(out, ToTask):
-            self._post(0, event.host, out.task, out.message)
+            self.post(0, event.host, out.task, out.message)
         if isinstance(out, ToStore):
             self._ask_store(out.message, event)
         if isinstance(out, ToHost):
@@ -202,12 +203,12 @@
                 task = 'membership'
             zones = self.zone_of[event.host], self.zone_of[out.host]
             if not self.is_cut(*zones):
-                self._post(self.link_delay_s, out.host, task, out.message)
+                self.post(self.link_delay_s, out.host, task, out.message)
 
     def _ask_store(self, request: Any, event: Event) -> None:
         lost = StoreLost('no answer')
         if self.store_down or self.is_cut(self.zone_of[event.host], PLATFORM):
-            self._post(STORE_LIMIT_S, event.host, event.task, lost)
+            self.post(STORE_LIMIT_S, event.host, event.task, lost)
             return
         reply: Any = table.decide(request, self.table, self.now_s)[0]
         is_commit = isinstance(reply.message, CommitResult)
@@ -215,9 +216,9 @@
             self._note_accepted()
         if is_commit and self.lost_answers:
             self.lost_answers -= 1
-            self._post(STORE_LIMIT_S, event.host, event.task, lost)
+            self.post(STORE_LIMIT_S, event.host, event.task, lost)
             return
-        self._post(STORE_S, event.host, event.task, reply.message)
+        self.post(STORE_S, event.host, event.task, reply.message)
 
     def _note_accepted(self) -> None:
         rows = self.table['rows']
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from poplarspoke import codec
-from poplarspoke.generated import common, membership, peers
+from poplarspoke.generated import common, configuration, membership, peers
 
 texts = st.text(st.characters(codec='utf-8'), max_size=20)
 counters = st.integers(0, 2**64 - 1)
@@ -22,6 +22,12 @@
     queued=st.integers(0, 2**32 - 1),
     reachable=st.booleans(),
 )
+doubts = st.builds(
+    configuration.Doubt,
+    change_id=texts,
+    version=counters,
+    keys=st.lists(texts, max_size=3).map(tuple),
+)
 heartbeats = st.builds(
     membership.Heartbeat,
     sender=texts,
@@ -33,6 +39,12 @@
     leaving=st.booleans(),
     endpoints=st.lists(views, max_size=3).map(tuple),
     hosts=st.just(()),
+    sequence=counters,
+    echo_sequence=counters,
+    echo_ago_s=seconds,
+    confirmed=st.booleans(),
+    store_failed_ago_s=seconds,
+    doubts=st.lists(doubts, max_size=2).map(tuple),
 )
 
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -109,6 +109,17 @@
     assert configuration.is_ready(state, fleet.now_s)
 
 
+def test_late_snapshot_does_not_revert() -> None:
+    """R14: an old version that arrives late must not come into force."""
+    fleet = fleets.start_fleet()
+    old = fleet.states['ah0']['configuration']['snapshot']
+    fleet.submit('ah0', 'c2', 'zones/c/in_service', content=False)
+    fleet.run(3)
+    fleet.post(0, 'bh0', 'configuration', old)
+    fleet.run(0.1)
+    assert fleet.version('bh0') == 2
+
+
 def test_damaged_rows_keep_the_version_in_force() -> None:
     """A damaged document in the table must not stop the settings task."""
     fleet = fleets.start_fleet()
@@ -127,7 +138,7 @@
     fleet.run(3)
     asked = [ShowSettings('show'), ShowHistory('history', 'zones')]
     for message in asked:
-        fleet._post(0, 'bh1', 'configuration', message)
+        fleet.post(0, 'bh1', 'configuration', message)
     fleet.run(3)
     shown = fleet.replies['show']
     assert shown.snapshot[4:] == (
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,194 @@
+"""Guards heartbeats, the judgement of hosts and ownership of endpoints."""
+
+import collections
+from typing import Any
+
+from poplarspoke import membership
+from poplarspoke.generated.common import Tick
+from poplarspoke.generated.configuration import PeerState
+from poplarspoke.generated.membership import (
+    EndpointView,
+    Heartbeat,
+    HostView,
+    LeaveFleet,
+)
+from poplarspoke.generated.platform import HostEntry, HostList
+from poplarspoke.tasks import ToHost, ToTask
+from tests import fleet as fleets
+
+ZONES = 8
+TARGET_HOSTS = 410
+
+
+def create_hosts(count: int, zones: int) -> list[HostEntry]:
+    """Returns entries of hosts spread over zones."""
+    return [
+        HostEntry(f'h{index:03}', f'z{index % zones}', f'127.0.0.1:{index}')
+        for index in range(count)
+    ]
+
+
+def create_state(
+    entry: HostEntry,
+    entries: list[HostEntry],
+) -> membership.MembershipState:
+    """Returns the state of one of several hosts at 100 s."""
+    return membership.create_state(
+        host=entry.name,
+        zone=entry.zone,
+        incarnation=1,
+        seeds=entries,
+        subscribers=(),
+        now_s=100,
+    )
+
+
+def list_links(count: int, zones: int) -> dict[str, set[str]]:
+    """Returns the peers of every host."""
+    entries = create_hosts(count, zones)
+    return {
+        entry.name: set(
+            membership.choose_peers(create_state(entry, entries)),
+        )
+        for entry in entries
+    }
+
+
+def test_links_are_symmetric_and_cover_the_zones() -> None:
+    """Without symmetry there is no echo; without a zone no confirmation."""
+    for count, zones in ((2, 2), (7, 3), (8, 3), (24, 3), (61, 3), (30, 8)):
+        links = list_links(count, zones)
+        for host, peers in links.items():
+            assert host not in peers
+            assert all(host in links[peer] for peer in peers)
+            seen = {int(name[1:]) % zones for name in (*peers, host)}
+            assert len(seen) == zones
+
+
+def test_links_stay_constant_and_news_spreads_at_the_target() -> None:
+    """A longest path over 16 s would miss the target at 410 daemons."""
+    links = list_links(TARGET_HOSTS, ZONES)
+    counts = collections.Counter(len(peers) for peers in links.values())
+    assert max(counts) <= 16
+    reached = {'h000'}
+    rounds = 0
+    while len(reached) < TARGET_HOSTS:
+        reached = reached.union(*(links[host] for host in reached))
+        rounds += 1
+    assert rounds * membership.HEARTBEAT_INTERVAL_S <= 4
+
+
+def test_silent_host_dies_and_a_new_start_lives() -> None:
+    """A dead owner must be replaced; its old messages must not revive it."""
+    entries = create_hosts(2, 1)
+    state = create_state(entries[0], entries)
+    first = Heartbeat('h001', 'z0', 5, sequence=9)
+    membership.decide(Tick(), state, 100)
+    membership.decide(first, state, 100)
+    membership.decide(Tick(), state, 104.9)
+    assert membership.list_live(state) == ['h000', 'h001']
+    membership.decide(Tick(), state, 105)
+    assert membership.list_live(state) == ['h000']
+    membership.decide(first, state, 106)
+    membership.decide(first._replace(incarnation=4), state, 106)
+    assert membership.list_live(state) == ['h000']
+    membership.decide(Heartbeat('h001', 'z0', 6, sequence=1), state, 107)
+    assert membership.list_live(state) == ['h000', 'h001']
+
+
+def test_host_that_others_hear_stays_alive() -> None:
+    """One broken link must not make a host dead for the others."""
+    entries = create_hosts(3, 1)
+    state = create_state(entries[0], entries)
+    for step in range(20):
+        now_s = 100 + step / 2
+        membership.decide(Tick(), state, now_s)
+        heard = HostView('h002', 3, 0.1, zone='z0')
+        heartbeat = Heartbeat('h001', 'z0', 1, sequence=step + 1)
+        membership.decide(heartbeat._replace(hosts=(heard,)), state, now_s)
+    assert membership.list_live(state) == ['h000', 'h001', 'h002']
+
+
+def test_heartbeat_is_dated_by_its_echo() -> None:
+    """R6: a heartbeat that was delayed must not look like a new one."""
+    entries = create_hosts(2, 1)
+    state = create_state(entries[0], entries)
+    sent: Any = membership.decide(Tick(), state, 100)
+    echo = next(out for out in sent if isinstance(out, ToHost)).message
+    view = EndpointView('e1', observed_ago_s=0.5)
+    delayed = Heartbeat(
+        'h001',
+        'z0',
+        1,
+        endpoints=(view,),
+        sequence=1,
+        echo_sequence=echo.sequence,
+        echo_ago_s=0.25,
+    )
+    out = membership.decide(delayed, state, 130)[0]
+    assert isinstance(out, ToTask)
+    peer: PeerState = out.message
+    observed_at_s = state['views']['e1'].observed_at_s
+    assert (peer.stated_at_s, observed_at_s) == (100.25, 99.75)
+
+
+def test_echo_of_an_earlier_start_dates_nothing() -> None:
+    """A restarted daemon must not take an old echo for one of its own."""
+    entries = create_hosts(2, 1)
+    numbers: set[int] = set()
+    for incarnation in (1, 2):
+        state = membership.create_state(
+            host='h000',
+            zone='z0',
+            incarnation=incarnation,
+            seeds=entries,
+            subscribers=(),
+            now_s=100,
+        )
+        membership.decide(Tick(), state, 100)
+        numbers.update(state['sent_at_s'])
+    assert len(numbers) == 2
+
+
+def test_leaving_host_owns_nothing() -> None:
+    """R13: a host that shuts down must get no new statements."""
+    entries = create_hosts(3, 1)
+    state = create_state(entries[0], entries)
+    membership.decide(LeaveFleet(), state, 100)
+    assert membership.list_live(state) == ['h001', 'h002']
+    leaving = entries[1]._replace(leaving=True)
+    membership.decide(HostList((leaving,), 1), state, 101)
+    assert membership.list_live(state) == ['h002']
+
+
+def test_old_list_does_not_overrule_a_heartbeat() -> None:
+    """The platform's list lags; a host that came back must count."""
+    entries = create_hosts(2, 1)
+    state = create_state(entries[0], entries)
+    membership.decide(Heartbeat('h001', 'z0', 2, sequence=1), state, 100)
+    leaving = entries[1]._replace(leaving=True)
+    membership.decide(HostList((leaving,), 30), state, 101)
+    assert membership.list_live(state) == ['h000', 'h001']
+
+
+def test_owner_moves_only_from_lost_hosts() -> None:
+    """Ownership that moves at large would break connections everywhere."""
+    hosts = [f'h{index}' for index in range(8)]
+    for number in range(50):
+        ranked = membership.rank_owners(f'e{number}', hosts)
+        rest = membership.rank_owners(f'e{number}', set(hosts) - {ranked[0]})
+        assert rest == ranked[1:]
+
+
+def test_zones_find_each_other_again() -> None:
+    """Hosts that count as dead must be heard after a cut heals."""
+    fleet = fleets.start_fleet()
+    for zone in ('b', 'c'):
+        fleet.cuts.add(frozenset(('a', zone)))
+    fleet.run(10)
+    state = fleet.states['ah0']['membership']
+    assert membership.list_live(state) == ['ah0', 'ah1']
+    assert membership.find_reachable_zones(state, fleet.now_s) == ('a',)
+    fleet.cuts.clear()
+    fleet.run(2)
+    assert len(membership.list_live(state)) == 6
