--- a/poplarspoke/borrowing.py
+++ b/poplarspoke/borrowing.py
@@ -114,11 +114,13 @@
     if not peers or not _take_round(borrowing, workspace, now_s):
         return outgoing
     missing, keep_room = _find_amount(bucket, needed, now_s)
+    # An idle peer has at least a full floor: half of the burst in equal parts.
+    full = bucket['burst'] / (2 * (len(borrowing['peers']) + 1))
     for peer in peers:
         if missing <= buckets.TOLERANCE:
             break
         surplus = _view(borrowing, workspace, peer).surplus
-        tokens = min(missing, max(surplus, 1))
+        tokens = min(missing, max(surplus, full, 1))
         missing -= tokens
         entry = Borrow(workspace, peer, tokens, keep_room, now_s)
         bucket['reserved'] += reserved_room(entry)
--- a/poplarspoke/leases.py
+++ b/poplarspoke/leases.py
@@ -94,7 +94,7 @@
         observed={},
         sent=[],
         committed_s=0,
-        lease_until_s=float('-inf'),
+        lease_until_s=0,
         promised={},
         round=PromiseRound(0, 0, {}),
         leaving=False,
@@ -119,9 +119,11 @@
     """Takes a row over unless a newer one is known; returns whether it did."""
     if leases['known'] and row.version <= leases['version']:
         return False
-    content = LeaseRow()
-    if row.content:
-        content = codec.parse(LeaseRow, json.loads(row.content))
+    try:
+        content = _parse_row(row)
+    except ValueError:
+        # A row of another format: without it only the floors remain.
+        return False
     leases['known'] = True
     leases['version'] = row.version
     leases['holders'] = {holder.host: holder for holder in content.holders}
@@ -249,6 +251,12 @@
     leases['lease_until_s'] = max(leases['lease_until_s'], until_s)
 
 
+def _parse_row(row: Row) -> LeaseRow:
+    if row.content:
+        return codec.parse(LeaseRow, json.loads(row.content))
+    return LeaseRow()
+
+
 def find_own(leases: Leases) -> LeaseHolder | None:
     """Returns the entry of this process in the row, if there is one."""
     own = leases['holders'].get(leases['host'])
@@ -282,7 +290,7 @@
 def _count_lease(leases: Leases) -> None:
     own = find_own(leases)
     if own is None:
-        leases['lease_until_s'] = float('-inf')
+        leases['lease_until_s'] = 0
         return
     for sent in leases['sent']:
         if sent.sequence != own.sequence:
