Ask peers that lend nothing ever more seldom

With twice the rate on all hosts each host sent a median of 51.3 messages a second, since every peer was asked again after 0.25 s.

--- a/poplarspoke/borrowing.py
+++ b/poplarspoke/borrowing.py
@@ -19,6 +19,7 @@
 MAX_ROUNDS = 8.0
 MIN_REST_S = 0.02
 MAX_REST_S = 0.25  # Time until a drained peer is asked again.
+MAX_EMPTY_REST_S = 2.0  # Peers over the rate themselves are asked seldom.
 SILENT_REST_S = 1.0  # Time until a peer that did not answer is asked again.
 BATCH_S = 0.1  # Refill time of the whole rate that is asked for in advance.
 
@@ -38,6 +39,7 @@
 
     surplus: float
     ask_after_s: float
+    empty_rest_s: float = 0  # Rest after the last grant, if it was empty.
 
 
 class Allowance(NamedTuple):
@@ -176,12 +178,7 @@
     loan_until_s = until_s if entry.keep_room else 0
     reserved = reserved_room(entry)
     buckets.accept(bucket, tokens, reserved, loan_until_s, now_s)
-    is_drained = granted < entry.tokens or message.surplus < 1
-    rest_s = _find_rest(bucket) if is_drained else 0
-    borrowing['views'][entry.workspace, entry.peer] = PeerView(
-        message.surplus,
-        now_s + rest_s,
-    )
+    _remember(borrowing, entry, message, bucket, now_s)
     return True
 
 
@@ -258,6 +255,28 @@
     )
 
 
+def _remember(
+    borrowing: Borrowing,
+    entry: Borrow,
+    message: LendTokens,
+    bucket: buckets.Bucket,
+    now_s: float,
+) -> None:
+    rest_s = float(0)
+    empty_rest_s = float(0)
+    if message.tokens < entry.tokens or message.surplus < 1:
+        rest_s = _find_rest(bucket)
+    if message.tokens < buckets.TOLERANCE:
+        last_s = _view(borrowing, entry.workspace, entry.peer).empty_rest_s
+        empty_rest_s = min(max(last_s * 2, rest_s), MAX_EMPTY_REST_S)
+        rest_s = empty_rest_s
+    borrowing['views'][entry.workspace, entry.peer] = PeerView(
+        message.surplus,
+        now_s + rest_s,
+        empty_rest_s,
+    )
+
+
 def _find_rest(bucket: buckets.Bucket) -> float:
     """Returns the time in which a peer refills half of its bucket."""
     refill_s = bucket['burst'] / (2 * max(bucket['rate'], buckets.TOLERANCE))
