--- a/poplarspoke/leases.py
+++ b/poplarspoke/leases.py
@@ -1,4 +1,4 @@
-"""Leased units of the rates, recorded in one row of the platform's table.
+"""Leased units of the rates, in one row of the table for a group of hosts.
 
 All writes of the row are compare-and-set on its version. The duration of a
 lease is counted from before its commit was sent. A host reclaims an entry after
@@ -20,7 +20,6 @@
     WorkspaceUnits,
 )
 
-LEASE_KEY = 'rates/leases'
 LEASE_S = 10.0
 # A lease ends on its holder's clock first, also with a drift of 5%.
 RECLAIM_AFTER_S = 10.5
@@ -67,6 +66,7 @@
 class Leases(TypedDict):
     """State of the leases of one host."""
 
+    key: str
     host: str
     incarnation: int
     version: int
@@ -82,9 +82,10 @@
     leaving: bool
 
 
-def create_leases(host: str, incarnation: int) -> Leases:
+def create_leases(key: str, host: str, incarnation: int) -> Leases:
     """Returns the state of a host that holds nothing."""
     return Leases(
+        key=key,
         host=host,
         incarnation=incarnation,
         version=0,
@@ -94,7 +95,7 @@
         observed={},
         sent=[],
         committed_s=0,
-        lease_until_s=float('-inf'),
+        lease_until_s=0,
         promised={},
         round=PromiseRound(0, 0, {}),
         leaving=False,
@@ -117,11 +118,15 @@
 
 def adopt_row(leases: Leases, row: Row, now_s: float) -> bool:
     """Takes a row over unless a newer one is known; returns whether it did."""
+    if row.key != leases['key']:
+        return False
     if leases['known'] and row.version <= leases['version']:
         return False
-    content = LeaseRow()
-    if row.content:
-        content = codec.parse(LeaseRow, json.loads(row.content))
+    try:
+        content = _parse_row(row)
+    except ValueError:
+        # A row of another format: without it only the floors remain.
+        return False
     leases['known'] = True
     leases['version'] = row.version
     leases['holders'] = {holder.host: holder for holder in content.holders}
@@ -172,8 +177,8 @@
     units.check_units({holder.host: holder for holder in holders})
     row = codec.to_object(LeaseRow(tuple(holders)))
     return Commit(
-        conditions=(RowCondition(LEASE_KEY, condition),),
-        writes=(RowWrite(LEASE_KEY, json.dumps(row)),),
+        conditions=(RowCondition(leases['key'], condition),),
+        writes=(RowWrite(leases['key'], json.dumps(row)),),
     )
 
 
@@ -249,6 +254,12 @@
     leases['lease_until_s'] = max(leases['lease_until_s'], until_s)
 
 
+def _parse_row(row: Row) -> LeaseRow:
+    if row.content:
+        return codec.parse(LeaseRow, json.loads(row.content))
+    return LeaseRow()
+
+
 def find_own(leases: Leases) -> LeaseHolder | None:
     """Returns the entry of this process in the row, if there is one."""
     own = leases['holders'].get(leases['host'])
@@ -282,7 +293,7 @@
 def _count_lease(leases: Leases) -> None:
     own = find_own(leases)
     if own is None:
-        leases['lease_until_s'] = float('-inf')
+        leases['lease_until_s'] = 0
         return
     for sent in leases['sent']:
         if sent.sequence != own.sequence:
