Feed the weights of endpoints to routing and failover

The dispatcher names the endpoints with weight 0 to the failover task of each database, so that a primary is handed over by the same steps as in a failure.

--- a/poplarspoke/dispatch.py
+++ b/poplarspoke/dispatch.py
@@ -17,12 +17,15 @@
 )
 from poplarspoke.generated.dispatch import (
     EndpointObserved,
-    EndpointService,
-    EndpointsInService,
     PlanStatement,
     StatementPlan,
 )
-from poplarspoke.generated.failover import CandidateRank, PrimaryAnnounced
+from poplarspoke.generated.drains import EndpointWeight, WeightsChanged
+from poplarspoke.generated.failover import (
+    AvoidEndpoints,
+    CandidateRank,
+    PrimaryAnnounced,
+)
 from poplarspoke.generated.membership import (
     EndpointView,
     EndpointViews,
@@ -86,7 +89,7 @@
         observations: Latest view of each endpoint.
         observed: Endpoints that this host observes itself.
         primaries: Primary with the highest known term by database.
-        service: Service state of each endpoint.
+        weights: Share of new work of each endpoint.
         hosts: Live hosts, sorted.
         rng: Source of the draws for the ramp.
     """
@@ -99,7 +102,7 @@
     observations: dict[str, Observation]
     observed: set[str]
     primaries: dict[str, Primary]
-    service: dict[str, EndpointService]
+    weights: dict[str, EndpointWeight]
     hosts: tuple[str, ...]
     rng: random.Random
 
@@ -115,7 +118,7 @@
         observations={},
         observed=set(),
         primaries={},
-        service={},
+        weights={},
         hosts=(host,),
         rng=random.Random(seed),
     )
@@ -219,12 +222,12 @@
 
 @decide.register
 def _(
-    message: EndpointsInService,
+    message: WeightsChanged,
     state: DispatchState,
     now_s: float,
 ) -> list[Outgoing]:
-    state['service'] = {entry.endpoint: entry for entry in message.endpoints}
-    return []
+    state['weights'] = {entry.endpoint: entry for entry in message.weights}
+    return _avoid(state)
 
 
 @decide.register
@@ -297,6 +300,23 @@
     return outgoing
 
 
+def _avoid(state: DispatchState) -> list[Outgoing]:
+    """Tells each failover task which endpoints must not keep a primary."""
+    avoided: dict[str, AvoidEndpoints] = {}
+    for entry in state['weights'].values():
+        known = avoided.setdefault(entry.database, AvoidEndpoints())
+        if entry.weight > 0:
+            continue
+        avoided[entry.database] = AvoidEndpoints(
+            (*known.endpoints, entry.endpoint),
+            entry.reason,
+        )
+    return [
+        ToTask(f'{FAILOVER_TASK}:{database}', message)
+        for database, message in avoided.items()
+    ]
+
+
 def _plan(
     message: PlanStatement,
     route: Route,
@@ -368,14 +388,14 @@
         if place.database != database:
             continue
         view = _find_view(endpoint, primary, state, now_s)
-        in_service = EndpointService(endpoint, place.in_service, routing.RAMP_S)
-        service = state['service'].get(endpoint, in_service)
+        full = EndpointWeight(endpoint, place.database, 1)
+        weight = state['weights'].get(endpoint, full).weight
         candidates.append(
             Candidate(
                 view=view,
                 zone=place.zone,
-                in_service=service.in_service and place.in_service,
-                returned_ago_s=service.returned_ago_s,
+                in_service=weight > 0 and place.in_service,
+                returned_ago_s=routing.invert_ramp(weight),
             ),
         )
     return tuple(candidates)
--- a/poplarspoke/routing.py
+++ b/poplarspoke/routing.py
@@ -90,6 +90,11 @@
     return min(max(grown, RAMP_START), 1)
 
 
+def invert_ramp(weight: float) -> float:
+    """Returns the seconds since the return at which a weight is reached."""
+    return max(weight - RAMP_START, 0) / (1 - RAMP_START) * RAMP_S
+
+
 def rank_hosts(endpoint: str, hosts: Iterable[str]) -> list[str]:
     """Returns hosts by rendezvous hashing, the preferred owner first.
 
--- a/poplarspoke/schema/dispatch.capnp
+++ b/poplarspoke/schema/dispatch.capnp
@@ -30,15 +30,3 @@
   # A fresh observation of an endpoint.
   view @0 :Membership.EndpointView;
 }
-
-struct EndpointsInService {
-  # Endpoints that get work, with the time since their return.
-  endpoints @0 :List(EndpointService);
-}
-
-struct EndpointService {
-  # Service state of an endpoint.
-  endpoint @0 :Text;
-  inService @1 :Bool;
-  returnedAgoS @2 :Float64;
-}
