--- a/poplarspoke/standins/member_state.py
+++ b/poplarspoke/standins/member_state.py
@@ -131,11 +131,13 @@
     """Returns the time up to which a majority has answered the primary."""
     answered = sorted(peer['answered_s'] for peer in state['peers'].values())
     others = state['majority'] - 1
-    return answered[-others]
+    return answered[-others] if others else state['up_to_date_s']
 
 
 def measure_age(state: MemberState, now_s: float) -> float:
     """Returns the seconds since the member knew that it was up to date."""
+    if state['majority'] == 1:
+        return 0
     if state['role'] is Role.REPLICA:
         return max(now_s - state['up_to_date_s'], 0)
     return max(now_s - find_majority_answer(state), 0)
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -9,7 +9,11 @@
 
 from poplarspoke import majorities
 from poplarspoke.generated.common import Position
-from poplarspoke.generated.failover import AvoidEndpoints, FailoverReason
+from poplarspoke.generated.failover import (
+    AvoidEndpoints,
+    CandidateRank,
+    FailoverReason,
+)
 from poplarspoke.generated.members import Confirmed
 from tests.failover_world import HOSTS, MEMBERS, STORE, World
 
@@ -90,6 +94,18 @@
     assert len(world.primaries) == 2
 
 
+@pytest.mark.parametrize('seed', range(30))
+def test_candidates_compete_without_the_table(seed: int) -> None:
+    """Candidates of equal rank must not both promote a member in a term."""
+    world = start_world(seed)
+    world.store_delay_s = 1000.0
+    world.delay_s = 0.15
+    for host in HOSTS:
+        world.tell_host(host, CandidateRank(0, HOSTS))
+    world.pause(world.primaries[1])
+    assert write_until_acknowledged(world, 'after', 2 * LIMIT_S)
+
+
 def test_one_host_without_the_primary_changes_nothing() -> None:
     """A fault of one host's network must not depose a healthy primary."""
     world = start_world()
@@ -191,29 +207,49 @@
         """Lets time pass."""
         self.world.run(seconds)
 
-    @rule(host=st.sampled_from(HOSTS), back=st.integers(0, 3))
-    def write(self, host: str, back: int) -> None:
-        """Writes anew or repeats one of the latest writes."""
-        if back == 0:
-            self.written += 1
-        self.world.write(host, f'w{max(self.written - back, 0)}')
-
-    @rule(pair=st.sampled_from([(a, b) for a in PLACES for b in PLACES]))
-    def cut(self, pair: tuple[str, str]) -> None:
-        """Cuts two processes off from each other."""
-        self.world.cuts.add(frozenset(pair))
-
-    @rule(name=st.sampled_from(MEMBERS), hosts=st.sets(st.sampled_from(HOSTS)))
-    def cut_zone(self, name: str, hosts: set[str]) -> None:
-        """Cuts a member and some hosts off from everything else."""
-        inside = {name, *hosts}
+    @rule(hosts=st.sets(st.sampled_from(HOSTS), min_size=1), new=st.booleans())
+    def write(self, hosts: set[str], new: bool) -> None:
+        """Writes on hosts at once, anew or a repeat of the last write."""
+        self.written += new
+        for host in sorted(hosts):
+            self.world.write(host, f'w{self.written}')
+
+    @rule(inside=st.sets(st.sampled_from(PLACES), min_size=1, max_size=3))
+    def partition(self, inside: set[str]) -> None:
+        """Cuts some processes off from all others."""
         outside = tuple(place for place in PLACES if place not in inside)
         for place in inside:
             isolate(self.world, place, outside)
 
+    @rule(
+        host=st.sampled_from(HOSTS),
+        kind=st.sampled_from(('pause', 'cut', 'members')),
+        seconds=st.sampled_from((0.0, 0.3, 3.0)),
+    )
+    def attack_primary(self, host: str, kind: str, seconds: float) -> None:
+        """Stops the primary or cuts it off, with a host that writes to it."""
+        primary = self.world.primaries[max(self.world.primaries)]
+        if kind == 'pause':
+            self.world.pause(primary)
+        if kind == 'cut':
+            self.partition({primary, host})
+        if kind == 'members':
+            others = tuple(name for name in MEMBERS if name != primary)
+            isolate(self.world, primary, others)
+        self.write({host}, new=True)
+        self.world.run(seconds)
+
+    @rule(ranks=st.permutations((0, 0, 1)))
+    def rank(self, ranks: list[int]) -> None:
+        """Lets hosts compete, since their views of the membership differ."""
+        for host, rank in zip(HOSTS, ranks, strict=True):
+            self.world.tell_host(host, CandidateRank(rank, HOSTS))
+
     @rule()
     def heal(self) -> None:
-        """Joins the network again."""
+        """Joins the network again and wakes every process."""
+        for name in list(self.world.paused):
+            self.world.resume(name)
         self.world.cuts.clear()
         self.world.loss = 0.0
         self.world.delay_s = 0.02
@@ -263,8 +299,6 @@
         self.heal()
         self.change_store(0.01, lose=False)
         self.drain(set())
-        for name in list(self.world.paused):
-            self.world.resume(name)
         self.world.run(LIMIT_S)
         assert write_until_acknowledged(self.world, 'last', LIMIT_S)
 
--- /dev/null
+++ b/tests/test_replication.py
@@ -0,0 +1,172 @@
+"""Guards a member's log, terms, ages and transactions."""
+
+from typing import Any
+
+import pytest
+
+from poplarspoke import tasks, web
+from poplarspoke.generated import members as schema
+from poplarspoke.generated.common import ErrorCode, Position
+from poplarspoke.standins import database, member, member_state, replication
+
+MEMBERS = ('m1', 'm2', 'm3')
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    """Runs the tests on the back end that the daemons use."""
+    return 'asyncio'
+
+
+def ask(
+    state: member_state.MemberState,
+    body: Any,
+    now_s: float = 1.0,
+    connection: str = 'c',
+) -> Any:
+    """Returns a member's answer to a request."""
+    call = schema.MemberCall('r', connection, 0, body)
+    for outgoing in replication.decide(call, state, now_s):
+        if isinstance(outgoing, tasks.Reply):
+            return outgoing.message
+    return None
+
+
+def create_primary(term: int = 1) -> member_state.MemberState:
+    """Returns a member that is the primary of a term."""
+    state = member_state.create_state('m1', MEMBERS, 0)
+    ask(state, schema.Adopt(term, 'h-1'))
+    ask(state, schema.Promote(term, 'h-1'))
+    return state
+
+
+def execute(text: str, request_id: str = 'w1') -> schema.Execute:
+    """Returns a recorded write of term 1."""
+    return schema.Execute(
+        request_id=request_id,
+        workspace='w',
+        term=1,
+        text=text,
+        write=True,
+        record=True,
+    )
+
+
+def test_term_is_granted_once() -> None:
+    """Two candidates with one term would promote two primaries."""
+    state = member_state.create_state('m1', MEMBERS, 0)
+    assert ask(state, schema.Adopt(2, 'h1-1')).granted
+    assert ask(state, schema.Adopt(2, 'h1-1')).granted
+    assert not ask(state, schema.Adopt(2, 'h2-1')).granted
+    assert not ask(state, schema.Adopt(1, 'h1-1')).granted
+    assert ask(state, schema.Promote(2, 'h2-1')).role is schema.Role.REPLICA
+
+
+def test_superseded_primary_refuses() -> None:
+    """A write in an old term after a new one was adopted would be lost."""
+    state = create_primary()
+    position = ask(state, execute('PUT k v')).position
+    assert ask(state, schema.Confirm(position)).confirmed
+    ask(state, schema.Adopt(2, 'h-2'))
+    refused = ask(state, execute('PUT k x', 'w2'))
+    assert refused.refusal.code is ErrorCode.NOT_PRIMARY
+    assert not ask(state, schema.Confirm(position)).confirmed
+
+
+def test_diverging_tail_is_truncated() -> None:
+    """A tail that no majority held must give way, with what it recorded."""
+    state = create_primary()
+    ask(state, execute('PUT k old'))
+    entry = schema.LogEntry(Position(2, 2))
+    message = schema.Replicate(
+        2, 'm2', Position(1, 1), (entry,), Position(2, 2)
+    )
+    assert ask(state, message).accepted
+    assert member_state.find_last(state) == Position(2, 2)
+    assert database.find_recorded(state['database'], 'w', 'w1') is None
+    assert not state['database']['tables']['']
+    late = message._replace(term=1, primary='m1')
+    assert not ask(state, late).accepted
+
+
+def test_recorded_write_runs_once() -> None:
+    """A repeat must return the first answer and change nothing."""
+    state = create_primary()
+    first = ask(state, execute('ADD n 1'))
+    second = ask(state, execute('ADD n 1'))
+    assert second.rows == first.rows
+    assert second.repeated
+    assert state['database']['tables']['w'] == {'n': '1'}
+
+
+def test_late_message_does_not_look_fresh() -> None:
+    """A replica must not take a message that was under way as news."""
+    state = member_state.create_state('m2', MEMBERS, 0)
+    ask(state, schema.Replicate(1, 'm1', round=1), 5.0)
+    late = schema.Replicate(1, 'm1', round=2, answered_round=1, age_s=0.5)
+    ask(state, late, 60.0)
+    assert replication.describe(state, 60.0).age_s == 55.5
+
+
+def test_age_of_primary_without_majority_grows() -> None:
+    """A partitioned primary must not serve reads as if it were current."""
+    state = create_primary()
+    answered = schema.Replicated(True, 1, Position(1, 1), 1)
+    replication.decide(
+        schema.ReplicateAnswered('m2', False, answered), state, 2
+    )
+    assert replication.describe(state, 9.0).age_s == 8.0
+
+
+def test_transactions_do_not_mix() -> None:
+    """Effects must stay inside until the commit, and reads must still hold."""
+    state = create_primary()
+    control = schema.TransactionControl('t', 'w', 1)
+    for connection in ('a', 'b'):
+        ask(state, schema.BeginTransaction(control), connection=connection)
+        ask(state, execute('ADD n 1'), connection=connection)
+    assert not state['database']['tables'].get('w')
+    commit = schema.CommitTransaction(control)
+    assert not ask(state, commit, connection='a').refused
+    lost = ask(state, commit, connection='b')
+    assert lost.refusal.code is ErrorCode.CONFLICT
+    ask(state, schema.BeginTransaction(control), connection='c')
+    replication.decide(schema.ConnectionClosed('c'), state, 1)
+    ended = ask(state, commit, connection='c')
+    assert ended.refusal.code is ErrorCode.TRANSACTION_ENDED
+    assert state['database']['tables']['w'] == {'n': '1'}
+
+
+async def post(
+    connection: web.HttpConnection,
+    path: str,
+    body: Any,
+) -> web.Response:
+    """Sends a message to a member process."""
+    request = web.Request('POST', path, body=web.write_json(body))
+    return await connection.send(request, timeout_s=10)
+
+
+@pytest.mark.anyio
+async def test_process_loses_an_answer_after_its_effect() -> None:
+    """Without this fault no test could tell a lost answer from no effect."""
+    members = {'m1': '127.0.0.1:1'}
+    settings = member.Settings('m1', 0, 'z', 'd', members)
+    async with member.Member(settings) as process:
+        address = f'127.0.0.1:{process.port}'
+        async with await web.connect(address) as connection:
+            await post(connection, '/adopt', schema.Adopt(1, 'h'))
+            await post(connection, '/promote', schema.Promote(1, 'h'))
+            faults = schema.MemberFaults(lost_answers=1, lost_path='/execute')
+            await post(connection, '/faults', faults)
+            with pytest.raises(web.AnswerLostError):
+                await post(connection, '/execute', execute('PUT k v'))
+        async with await web.connect(address) as connection:
+            response = await post(connection, '/execute', execute('PUT k v'))
+            answer = web.read_json(schema.MemberAnswer, response.body)
+            assert answer.repeated
+            seen = await connection.send(
+                web.Request('GET', '/seen?path=/execute'),
+                timeout_s=10,
+            )
+            assert seen.body.count(b'PUT k v') == 2
