--- a/poplarspoke/acknowledgements.py
+++ b/poplarspoke/acknowledgements.py
@@ -198,7 +198,12 @@
             detail=f'{request.primary} is no member of {state["database"]}',
         )
         state['acknowledged'] += 1
-        return MajorityReached(request.request_id)
+        holders = [
+            endpoint
+            for endpoint, answer in confirmations.items()
+            if answer.confirmed
+        ]
+        return MajorityReached(request.request_id, tuple(holders))
     highest = max(
         (answer.adopted_term for answer in confirmations.values()),
         default=0,
--- a/poplarspoke/configuration.py
+++ b/poplarspoke/configuration.py
@@ -141,9 +141,14 @@
     state: versions.ConfigurationState,
     now_s: float,
 ) -> list[Outgoing]:
-    if message.version >= state['snapshot'].version:
+    known = state['snapshot']
+    if message.version >= known.version:
         return []
-    snapshot = state['snapshot']._replace(sender=state['host'])
+    in_force_for_s = now_s - state['in_force_since_s']
+    snapshot = known._replace(
+        sender=state['host'],
+        age_s=known.age_s + in_force_for_s,
+    )
     return [ToHost(message.sender, snapshot)]
 
 
--- /dev/null
+++ b/poplarspoke/daemon.py
@@ -0,0 +1,305 @@
+"""The daemon of one host: its tasks and sockets, wired together."""
+
+import random
+import signal
+import sys
+from contextlib import AsyncExitStack
+from typing import Any, Self
+
+import anyio
+from anyio.abc import TaskGroup
+
+from poplarspoke import (
+    callers,
+    decisions,
+    errors,
+    execution,
+    operators,
+    owners,
+    peers,
+    proxy,
+    store,
+    transaction_steps,
+    transactions,
+    web,
+    wiring,
+)
+from poplarspoke.context import Context
+from poplarspoke.generated.drains import BeginShutdown, ReadyChanged, WorkCount
+from poplarspoke.generated.operators import AutomaticAct
+from poplarspoke.generated.platform import HostEntry
+from poplarspoke.generated.requests import Statement, StatementResult
+from poplarspoke.status import ExitStatus
+from poplarspoke.tasks import Mesh
+
+MS_PER_S = 1000
+WORK_COUNT_S = 0.2
+ANNOUNCE_S = 2.0
+CONTROL_QUEUE = 1024
+# Inboxes that decision tasks name and that the daemon itself serves.
+CONTROL_INBOXES = ('daemon', 'operators', 'callers')
+
+
+class Daemon:
+    """One host of the fleet; an async context manager that owns its parts.
+
+    Attributes:
+        name: Name of the host.
+        mesh: Its tasks.
+        owners: Tasks of its databases and endpoints.
+        fleet: What the wiring knows of the settings.
+        finished: Set when the shutdown is complete.
+    """
+
+    def __init__(self, context: Context) -> None:
+        """Takes the context with the settings of the daemon."""
+        if context.settings is None:
+            raise errors.SettingsError('a daemon needs its settings file')
+        self.name = context.settings['name']
+        self.fleet = wiring.FleetSettings(context.now_s())
+        self.finished = anyio.Event()
+        self._context = context
+        self._settings = context.settings
+        self._incarnation = int(context.wall_s() * MS_PER_S)
+        self._stores = store.Stores(
+            self._settings['platform'],
+            self._take_store_answer,
+        )
+        self.mesh = Mesh(
+            send_to_host=self._send_to_host,
+            send_to_store=self._stores.post,
+            send_to_endpoint=self._send_to_endpoint,
+            now_s=context.now_s,
+        )
+        self.owners = owners.Owners(self.name, self._incarnation, self.mesh)
+        ends = anyio.create_memory_object_stream[Any](CONTROL_QUEUE)
+        self._inbox = ends[0]
+        self._outbox = ends[1]
+        self._group: TaskGroup
+        self._stack = AsyncExitStack()
+
+    async def __aenter__(self) -> Self:
+        """Opens the listeners and starts the tasks."""
+        await self._stack.__aenter__()
+        try:
+            await self._open()
+        except BaseException:
+            # The task group raises the fault that cancelled the start.
+            await self._stack.__aexit__(*sys.exc_info())
+            raise
+        self._context.log.info('daemon_started')
+        return self
+
+    async def __aexit__(self, *_exc: object) -> None:
+        """Ends the tasks and closes the listeners."""
+        self._group.cancel_scope.cancel()
+        await self._stack.__aexit__(None, None, None)
+        self._context.log.info('daemon_stopped')
+
+    def post(self, message: Any) -> bool:
+        """Queues a message for the wiring of the daemon itself."""
+        try:
+            self._inbox.send_nowait(message)
+        except anyio.WouldBlock:
+            return False
+        return True
+
+    def now_s(self) -> float:
+        """Returns the monotonic clock in seconds."""
+        return self._context.now_s()
+
+    def note_act(self, event: str, subject: str, evidence: str) -> None:
+        """Logs an automatic act and keeps it for the operators."""
+        version = self.fleet.version
+        self._context.log.info(
+            event,
+            evidence=f'{subject}: {evidence}',
+            settings_version=version,
+        )
+        self.mesh.post(
+            'traces',
+            AutomaticAct(
+                at_s=self._context.wall_s(),
+                host=self.name,
+                event=event,
+                subject=subject,
+                evidence=evidence,
+                settings_version=version,
+            ),
+        )
+
+    def link_peers(self, addresses: dict[str, str]) -> None:
+        """Opens links to the hosts of the fleet."""
+        self._peers.set_addresses(addresses)
+
+    def show_ready(self, ready: ReadyChanged) -> None:
+        """Shows the readiness to the load balancer."""
+        self._operator_front.ready = ready
+
+    def begin_shutdown(self) -> None:
+        """Makes each caller's connection close after its answer."""
+        self._caller_server.begin_shutdown()
+
+    async def _open(self) -> None:
+        self._group = await self._stack.enter_async_context(
+            anyio.create_task_group(),
+        )
+        for part in (self.owners, self._stores):
+            part.attach(self._group)
+        await self._stack.enter_async_context(self.owners)
+        await self._stack.enter_async_context(self._stores)
+        await self._open_peers()
+        self._start_tasks()
+        await self._open_fronts()
+        for background in (self._run_control, self._count_work, self._announce):
+            self._group.start_soon(background)
+
+    async def _open_peers(self) -> None:
+        self._peers = await self._stack.enter_async_context(
+            peers.Peers(
+                name=self.name,
+                secret=self._settings['secrets']['peer'].encode(),
+                listen=_split_address(self._settings['peers']),
+                on_message=self._route_peer_message,
+                on_statement=self._run_local,
+            ),
+        )
+
+    def _start_tasks(self) -> None:
+        start = decisions.Start(
+            self._settings,
+            self._incarnation,
+            self._context.now_s(),
+        )
+        for task in decisions.create_tasks(start):
+            self._stack.enter_context(task)
+            self.mesh.start(task, self._group)
+        for name in CONTROL_INBOXES:
+            self.mesh.register(name, self.post)
+
+    async def _open_fronts(self) -> None:
+        settings = self._settings
+        secrets = settings['secrets']
+        now_s = self._context.now_s
+        self._executor = transaction_steps.TransactionExecutor(
+            execution.Executor(self.name, self.owners.find_unit, now_s),
+            self.mesh.tasks['transactions'],
+        )
+        request_proxy = proxy.Proxy(
+            proxy.Identity(self.name, settings['zone'], (secrets['session'],)),
+            self.mesh,
+            self._run_statement,
+            now_s,
+            random.Random(self._incarnation),
+        )
+        front = callers.CallerFront(request_proxy.handle, self.name)
+        self._caller_server = await self._listen(
+            front.handle,
+            settings['callers'],
+        )
+        self._operator_front = operators.OperatorFront(
+            self.name,
+            (secrets['operator'], secrets['peer'], secrets['session']),
+            self.mesh,
+            now_s,
+        )
+        await self._listen(self._operator_front.handle, settings['operators'])
+
+    async def _listen(
+        self,
+        handler: web.Handler,
+        address: str,
+    ) -> web.HttpServer:
+        host, port = _split_address(address)
+        server = web.HttpServer(handler, host=host, port=port)
+        return await self._stack.enter_async_context(server)
+
+    async def _run_statement(
+        self,
+        owner: str,
+        statement: Statement,
+    ) -> StatementResult:
+        """Runs a statement here or on the host that owns its endpoint."""
+        if owner == self.name:
+            return await self._run_local(statement)
+        return await self._peers.forward(owner, statement)
+
+    async def _run_local(self, statement: Statement) -> StatementResult:
+        return await self._executor.run(statement)
+
+    async def _run_control(self) -> None:
+        while True:
+            wiring.handle_message(await self._outbox.receive(), self)
+
+    async def _count_work(self) -> None:
+        """Tells the drains how much open work a shutdown must wait for."""
+        while True:
+            await anyio.sleep(WORK_COUNT_S)
+            open_work = self._caller_server.active
+            self.mesh.post('drains', WorkCount('callers', open_work))
+            opened = transactions.count_open(
+                self.mesh.tasks['transactions'].state,
+            )
+            self.mesh.post('drains', WorkCount('transactions', opened))
+
+    async def _announce(self) -> None:
+        """Keeps this host on the platform's list."""
+        entry = HostEntry(
+            self.name,
+            self._settings['zone'],
+            self._settings['peers'],
+        )
+        async with store.Store(self._settings['platform']) as client:
+            while True:
+                leaving = not self._operator_front.ready.ready
+                try:
+                    await client.announce(entry._replace(leaving=leaving))
+                except (errors.StoreError, ValueError):
+                    self._context.log.debug('platform_unreachable')
+                await anyio.sleep(ANNOUNCE_S)
+
+    def _route_peer_message(self, sender: str, message: Any) -> None:
+        if getattr(message, 'sender', sender) != sender:
+            self._context.log.warning('peer_sender_wrong', peer=sender)
+            return
+        wiring.route_message(message, self.mesh)
+
+    def _send_to_host(self, host: str, message: Any) -> None:
+        self._peers.send(host, message)
+
+    def _send_to_endpoint(self, task: str, endpoint: str, message: Any) -> None:
+        self.owners.call(task, endpoint, message)
+
+    def _take_store_answer(self, task: str, answer: Any) -> None:
+        self.mesh.post(task, answer)
+
+
+def run(context: Context) -> ExitStatus:
+    """Runs the daemon until it has shut down; returns its exit status."""
+    anyio.run(_serve, context)
+    return ExitStatus.SUCCESS
+
+
+async def _serve(context: Context) -> None:
+    async with Daemon(context) as daemon:
+        async with anyio.create_task_group() as group:
+            group.start_soon(_watch_signals, daemon)
+            await daemon.finished.wait()
+            group.cancel_scope.cancel()
+
+
+async def _watch_signals(daemon: Daemon) -> None:
+    """Begins the graceful shutdown at the first signal, ends at the second."""
+    count = 0
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for received in signals:
+            count += 1
+            if count > 1:
+                daemon.finished.set()
+            reason = f'signal {received.name}'
+            daemon.mesh.post('drains', BeginShutdown(reason))
+
+
+def _split_address(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(':')
+    return (host.strip('[]'), int(port))
--- a/poplarspoke/dispatch.py
+++ b/poplarspoke/dispatch.py
@@ -32,7 +32,12 @@
     HostsChanged,
 )
 from poplarspoke.generated.requests import Repeat, Statement
-from poplarspoke.generated.routing import Candidate, RouteChoice, RouteQuery
+from poplarspoke.generated.routing import (
+    Candidate,
+    RouteChoice,
+    RouteQuery,
+    RouteReason,
+)
 from poplarspoke.generated.sessions import Session
 from poplarspoke.generated.settings import Document, Route
 from poplarspoke.tasks import Outgoing, Reply, ToTask
@@ -41,6 +46,9 @@
 MEMBERSHIP_TASK = 'membership'
 # A view that nobody renewed for this long no longer shows a reachable endpoint.
 VIEW_VALID_S = 3.0
+REPLICA_REASONS = frozenset(
+    (RouteReason.OWN_ZONE_REPLICA, RouteReason.OTHER_ZONE_REPLICA),
+)
 REPEATS = {
     'safe': Repeat.SAFE,
     'recorded': Repeat.RECORDED,
@@ -185,8 +193,7 @@
     now_s: float,
 ) -> list[Outgoing]:
     for view in message.views:
-        if view.endpoint not in state['observed']:
-            _observe(view, state, now_s)
+        _observe(view, state, now_s)
     return []
 
 
@@ -345,6 +352,7 @@
         endpoint=choice.endpoint,
         term=find_primary(state, route['database']).term,
         confirm=choice.confirm or query.write,
+        replica=choice.reason in REPLICA_REASONS,
     )
     plan = StatementPlan(
         statement=statement,
--- a/poplarspoke/drains.py
+++ b/poplarspoke/drains.py
@@ -9,14 +9,15 @@
 from typing import Any, NamedTuple, TypedDict
 
 from poplarspoke.generated.common import Tick
-from poplarspoke.generated.configuration import SettingsInForce
+from poplarspoke.generated.configuration import (
+    SettingsFreshness,
+    SettingsInForce,
+)
 from poplarspoke.generated.drains import (
     BeginShutdown,
     EndpointLeaving,
     EndpointWeight,
     EndTransactions,
-    HandOver,
-    PrimaryKnown,
     ReadyChanged,
     ReleaseLeases,
     ShutdownFinished,
@@ -32,8 +33,6 @@
 GRACE_S = 10.0
 RAMP_S = 30.0
 FIRST_WEIGHT = 0.1
-# A failover may fail while members are down.
-HAND_OVER_INTERVAL_S = 1.0
 LOAD_BALANCER_S = 2.0
 
 
@@ -65,8 +64,6 @@
         document: Its document.
         served: Endpoints by name.
         leaving: Endpoints that leave on their own.
-        primaries: Endpoint of the primary by database.
-        asked_at_s: When a database was last asked to change its primary.
         weights: Last published weights.
         ready: Last published readiness.
         phase: Step of the shutdown of this host.
@@ -80,8 +77,6 @@
     document: Document
     served: dict[str, Served]
     leaving: set[str]
-    primaries: dict[str, str]
-    asked_at_s: dict[str, float]
     weights: tuple[EndpointWeight, ...]
     ready: ReadyChanged
     phase: ShutdownPhase
@@ -103,8 +98,6 @@
         document=Document(teams={}),
         served={},
         leaving=set(),
-        primaries={},
-        asked_at_s={},
         weights=(),
         ready=ReadyChanged(),
         phase=ShutdownPhase.SERVING,
@@ -125,7 +118,6 @@
     return [
         *_publish_weights(state, now_s),
         *_publish_readiness(state),
-        *_hand_over(state, now_s),
         *_end_transactions(state, now_s),
         *_advance_shutdown(state, now_s),
     ]
@@ -142,6 +134,11 @@
     """Notes nothing; time has passed."""
 
 
+@handle.register
+def _(message: SettingsFreshness, state: DrainsState, now_s: float) -> None:
+    """Notes nothing; a drain goes on while the settings are not confirmed."""
+
+
 @handle.register
 def _(message: SettingsInForce, state: DrainsState, now_s: float) -> None:
     if message.snapshot.version <= state['version']:
@@ -159,11 +156,6 @@
     _update_served(state, now_s)
 
 
-@handle.register
-def _(message: PrimaryKnown, state: DrainsState, now_s: float) -> None:
-    state['primaries'][message.database] = message.endpoint
-
-
 @handle.register
 def _(message: WorkCount, state: DrainsState, now_s: float) -> None:
     state['work'][message.task] = message.open
@@ -259,22 +251,6 @@
     return ReadyChanged(ready=True)
 
 
-def _hand_over(state: DrainsState, now_s: float) -> list[Outgoing]:
-    """Asks for a new primary while one is out of service."""
-    outgoing: list[Outgoing] = []
-    for database, endpoint in state['primaries'].items():
-        served = state['served'].get(endpoint)
-        if served is None or not served.out_reason:
-            continue
-        asked_at_s = state['asked_at_s'].get(endpoint, -HAND_OVER_INTERVAL_S)
-        if now_s - asked_at_s < HAND_OVER_INTERVAL_S:
-            continue
-        state['asked_at_s'][endpoint] = now_s
-        request = HandOver(database, endpoint, served.out_reason)
-        outgoing.append(ToTask('failover', request))
-    return outgoing
-
-
 def _end_transactions(state: DrainsState, now_s: float) -> list[Outgoing]:
     outgoing: list[Outgoing] = []
     for name, served in state['served'].items():
--- a/poplarspoke/endpoints.py
+++ b/poplarspoke/endpoints.py
@@ -158,14 +158,18 @@
         """Queues a call; a full queue answers that it is lost."""
         try:
             self._inbox.send_nowait(call)
-        except anyio.WouldBlock:
+        except (anyio.WouldBlock, anyio.ClosedResourceError):
             self._on_answer(self._lose(call))
 
     async def run(self) -> None:
-        """Carries calls until it is cancelled."""
-        while True:
-            call = await self._outbox.receive()
+        """Carries calls until it is stopped or cancelled."""
+        async for call in self._outbox:
             self._on_answer(await self._carry(call))
+        await self._close()
+
+    def stop(self) -> None:
+        """Ends the link after the calls that are queued."""
+        self._inbox.close()
 
     async def _carry(self, call: CallEndpoint) -> EndpointAnswered:
         if call.new_connection:
--- a/poplarspoke/execution.py
+++ b/poplarspoke/execution.py
@@ -4,6 +4,7 @@
 answer, and a write or a strict read waits for a majority of members.
 """
 
+import functools
 import itertools
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple, TypeAlias
@@ -22,13 +23,21 @@
     Release,
     StartExchange,
 )
-from poplarspoke.generated.members import Execute, MemberAnswer
+from poplarspoke.generated.members import (
+    BeginTransaction,
+    CommitTransaction,
+    Execute,
+    MemberAnswer,
+    RollbackTransaction,
+)
 from poplarspoke.generated.queues import Enqueue, Finish, SlotGranted
 from poplarspoke.generated.requests import (
     Repeat,
     Statement,
     StatementResult,
+    TransactionStep,
 )
+from poplarspoke.generated.transactions import TransactionAllowed
 from poplarspoke.sockets import EndpointSockets
 from poplarspoke.tasks import Task
 
@@ -56,7 +65,7 @@
     acknowledgements: Task
 
 
-FindUnit: TypeAlias = Callable[[Statement], Awaitable[EndpointUnit | None]]
+FindUnit: TypeAlias = Callable[[str], Awaitable[EndpointUnit | None]]
 
 
 class Executor:
@@ -75,66 +84,81 @@
         self._numbers = itertools.count(1)
 
     async def run(self, statement: Statement) -> StatementResult:
-        """Returns the result of a statement, or its refusal."""
-        until_s = self._now_s() + statement.budget_s - RETURN_S
-        unit = await self._find_unit(statement)
-        if unit is None:
-            refusal = errors.refuse(
-                ErrorCode.NO_ENDPOINT,
-                f'endpoint {statement.endpoint!r} is not in the settings',
-            )
-            return refuse_result(statement, refusal)
+        """Returns the result of a single statement, or its refusal."""
+        until_s = self.find_deadline(statement)
         try:
-            return await self._run_in_slot(statement, unit, until_s)
+            unit = await self.get_unit(statement.endpoint)
+            answer = await self.run_in_slot(
+                statement,
+                unit,
+                until_s,
+                None,
+                build_execute(statement),
+            )
+            if answer.refused:
+                return refuse_result(statement, answer.refusal)
+            return await self.confirm(statement, unit, answer, until_s)
         except errors.PoplarspokeError as exc:
             return refuse_result(statement, errors.refuse_from(exc))
 
-    async def _run_in_slot(
+    async def get_unit(self, endpoint: str) -> EndpointUnit:
+        """Returns the tasks that serve an endpoint.
+
+        Raises:
+            errors.RefusedError: The settings do not have the endpoint.
+        """
+        unit = await self._find_unit(endpoint)
+        if unit is not None:
+            return unit
+        raise errors.RefusedError(
+            errors.refuse(
+                ErrorCode.NO_ENDPOINT,
+                f'endpoint {endpoint!r} is not in the settings of this host',
+            ),
+        )
+
+    async def run_in_slot(
         self,
         statement: Statement,
         unit: EndpointUnit,
         until_s: float,
-    ) -> StatementResult:
+        allowed: TransactionAllowed | None,
+        message: Any,
+    ) -> MemberAnswer:
+        """Sends a message when the fair queue grants a slot.
+
+        Args:
+            statement: Statement that the message runs.
+            unit: Tasks of the endpoint.
+            until_s: Deadline on the monotonic clock.
+            allowed: Connection of the transaction, None outside of one.
+            message: What is sent to the endpoint.
+
+        Raises:
+            errors.RefusedError: The message was refused and did not run.
+            web.AnswerLostError: No whole answer came.
+        """
         attempt = self.name_attempt()
-        budget_s = until_s - self._now_s()
+        budget_s = self.count_left(until_s)
         granted = await unit.queue.ask(
             Enqueue(attempt, statement.workspace, budget_s),
             timeout_s=budget_s,
         )
         if not isinstance(granted, SlotGranted):
-            return refuse_result(statement, granted.refusal)
-        try:
-            answer = await self._run_on_connection(statement, unit, until_s)
-        finally:
-            unit.queue.post(Finish(attempt))
-        if answer.refused:
-            return refuse_result(statement, answer.refusal)
-        return await self.confirm(statement, unit, answer, until_s)
-
-    async def _run_on_connection(
-        self,
-        statement: Statement,
-        unit: EndpointUnit,
-        until_s: float,
-    ) -> MemberAnswer:
-        holder = self.name_attempt()
-        lent = await unit.pool.ask(
-            Acquire(
-                holder,
-                statement.workspace,
-                budget_s=until_s - self._now_s(),
-            ),
-            timeout_s=until_s - self._now_s(),
-        )
-        if not isinstance(lent, ConnectionLent):
-            return MemberAnswer(refused=True, refusal=lent.refusal)
-        execute = build_execute(statement)
+            raise errors.RefusedError(granted.refusal)
         try:
+            if allowed is None:
+                return await self._borrow(statement, unit, until_s, message)
             return await self.exchange(
-                unit, lent.connection, holder, execute, until_s
+                unit,
+                allowed.connection,
+                allowed.holder,
+                message,
+                until_s,
+                clean=statement.step is not TransactionStep.INSIDE,
             )
         finally:
-            unit.pool.post(Release(lent.connection, holder))
+            unit.queue.post(Finish(attempt))
 
     async def exchange(
         self,
@@ -143,15 +167,25 @@
         holder: str,
         message: Any,
         until_s: float,
+        *,
+        clean: bool,
     ) -> MemberAnswer:
         """Sends a message on a connection and returns its checked answer.
 
+        Args:
+            unit: Tasks of the endpoint.
+            connection: Number of the connection.
+            holder: Who holds the connection.
+            message: What is sent to the endpoint.
+            until_s: Deadline on the monotonic clock.
+            clean: Whether no transaction is open after it.
+
         Raises:
             web.AnswerLostError: No whole answer to this message came.
             errors.RefusedError: The endpoint refused the message.
         """
-        timeout_s = until_s - self._now_s()
-        request_id = message.request_id
+        timeout_s = self.count_left(until_s)
+        request_id = find_request_id(message)
         unit.pool.post(
             StartExchange(connection, holder, request_id, timeout_s),
         )
@@ -161,7 +195,7 @@
             timeout_s=timeout_s,
         )
         ended = await unit.pool.ask(
-            EndExchange(request_id, connection, answer.request_id, clean=True),
+            EndExchange(request_id, connection, answer.request_id, clean),
             timeout_s=timeout_s,
         )
         if isinstance(ended, ExchangeEnded) and ended.accepted:
@@ -179,7 +213,7 @@
         if not statement.confirm:
             return build_result(statement, answer, answer.age_s)
         attempt = self.name_attempt()
-        budget_s = max(until_s - self._now_s(), 0)
+        budget_s = self.count_left(until_s)
         reply = await unit.acknowledgements.ask(
             AwaitMajority(
                 attempt,
@@ -191,12 +225,62 @@
         )
         if isinstance(reply, MajorityMissed):
             return refuse_result(statement, _refuse_missed(statement, reply))
-        return build_result(statement, answer, 0)
+        found = build_result(statement, answer, 0)
+        return found._replace(holders=reply.holders)
 
     def name_attempt(self) -> str:
         """Returns an id that no other attempt of this daemon has."""
         return f'{self._host}.{next(self._numbers)}'
 
+    def find_deadline(self, statement: Statement) -> float:
+        """Returns when a statement must have ended on this host."""
+        return self._now_s() + statement.budget_s - RETURN_S
+
+    def count_left(self, until_s: float) -> float:
+        """Returns the seconds until a deadline, 0 if it has passed."""
+        return max(until_s - self._now_s(), 0)
+
+    async def _borrow(
+        self,
+        statement: Statement,
+        unit: EndpointUnit,
+        until_s: float,
+        message: Any,
+    ) -> MemberAnswer:
+        """Sends a message on a connection that is lent for it alone."""
+        holder = self.name_attempt()
+        timeout_s = self.count_left(until_s)
+        lent = await unit.pool.ask(
+            Acquire(holder, statement.workspace, budget_s=timeout_s),
+            timeout_s=timeout_s,
+        )
+        if not isinstance(lent, ConnectionLent):
+            raise errors.RefusedError(lent.refusal)
+        try:
+            return await self.exchange(
+                unit,
+                lent.connection,
+                holder,
+                message,
+                until_s,
+                clean=True,
+            )
+        finally:
+            unit.pool.post(Release(lent.connection, holder))
+
+
+@functools.singledispatch
+def find_request_id(message: Any) -> str:
+    """Returns the request id that the endpoint's answer must echo."""
+    return str(message.request_id)
+
+
+@find_request_id.register
+def _(
+    message: BeginTransaction | CommitTransaction | RollbackTransaction,
+) -> str:
+    return message.control.request_id
+
 
 def build_execute(statement: Statement) -> Execute:
     """Returns the message that runs a statement on an endpoint."""
@@ -224,7 +308,7 @@
         age_s=age_s,
         rows=answer.rows,
         repeated=answer.repeated,
-        replica=not statement.write and not statement.confirm,
+        replica=statement.replica,
         transaction=statement.transaction,
         queued=answer.queued,
         database=statement.database,
--- a/poplarspoke/failover.py
+++ b/poplarspoke/failover.py
@@ -50,6 +50,7 @@
     ReadRows,
     Row,
     RowsRead,
+    StoreLost,
 )
 from poplarspoke.suspicion import MemberView, Suspicion
 from poplarspoke.tasks import Outgoing, ToEndpoint, ToHost, ToStore, ToTask
@@ -144,6 +145,12 @@
     return [*outgoing, *_judge_claim(attempt, state, now_s)]
 
 
+@decide.register
+def _(message: StoreLost, state: FailoverState, now_s: float) -> list[Outgoing]:
+    # The next tick goes on without the table once the step takes too long.
+    return []
+
+
 @decide.register
 def _(
     message: EndpointAnswered,
--- a/poplarspoke/proxy.py
+++ b/poplarspoke/proxy.py
@@ -2,22 +2,22 @@
 
 import random
 from collections.abc import Awaitable, Callable
-from typing import NamedTuple, TypeAlias, TypedDict
+from typing import NamedTuple, TypeAlias
 
 import anyio
 
-from poplarspoke import errors, retries, routing, sessions, tokens, transactions
-from poplarspoke.generated.common import ErrorCode, Outcome, Refusal
+from poplarspoke import courses, errors, retries, routing, tokens, transactions
+from poplarspoke.courses import Course
+from poplarspoke.generated.common import ErrorCode, Refusal
 from poplarspoke.generated.dispatch import PlanStatement, StatementPlan
 from poplarspoke.generated.keys import CheckKey, KeyAccepted
+from poplarspoke.generated.membership import EndpointViews
 from poplarspoke.generated.operators import (
     AdmissionCounted,
     ReadCounted,
-    RequestStep,
-    RequestTrace,
     ServiceCounted,
 )
-from poplarspoke.generated.rates import Admitted, AdmitRequest
+from poplarspoke.generated.rates import AdmitRequest, Admitted
 from poplarspoke.generated.requests import (
     CallerAnswer,
     CallerRequest,
@@ -25,7 +25,7 @@
     StatementResult,
     TransactionStep,
 )
-from poplarspoke.generated.retries import Attempt, FailureKind
+from poplarspoke.generated.retries import Attempt
 from poplarspoke.generated.routing import RouteQuery
 from poplarspoke.generated.sessions import Session
 from poplarspoke.tasks import Mesh
@@ -37,12 +37,6 @@
         TransactionStep.ROLLBACK,
     ),
 )
-FAILURE_KINDS = {
-    Outcome.NOT_RUN: FailureKind.REFUSED_NOT_RUN,
-    Outcome.FAILED: FailureKind.STATEMENT_FAILED,
-    Outcome.UNKNOWN: FailureKind.ANSWER_LOST,
-}
-
 RunStatement: TypeAlias = Callable[
     [str, Statement],
     Awaitable[StatementResult],
@@ -57,32 +51,6 @@
     token_secrets: tuple[str, ...]
 
 
-class Course(TypedDict):
-    """A request on its way; owned by the task of its connection.
-
-    Attributes:
-        request: The request as it came.
-        started_s: When it came.
-        until_s: The caller's deadline.
-        session: Positions that the session requires.
-        number: Attempts so far.
-        unknown: Whether an attempt may have run without a known outcome.
-        waited_s: Time that it waited for a replica.
-        settings_version: Version that the last plan was made by.
-        steps: What was decided, for ``explain``.
-    """
-
-    request: CallerRequest
-    started_s: float
-    until_s: float
-    session: Session
-    number: int
-    unknown: bool
-    waited_s: float
-    settings_version: int
-    steps: list[RequestStep]
-
-
 class Proxy:
     """Handles callers' requests on one entry host."""
 
@@ -112,18 +80,7 @@
 
     async def handle(self, request: CallerRequest) -> CallerAnswer:
         """Returns the answer to a request; never raises a coded error."""
-        started_s = self._now_s()
-        course = Course(
-            request=request,
-            started_s=started_s,
-            until_s=started_s + request.budget_s,
-            session=Session(),
-            number=0,
-            unknown=False,
-            waited_s=0,
-            settings_version=0,
-            steps=[],
-        )
+        course = courses.create_course(request, self._now_s())
         try:
             answer = await self._serve(course)
         except errors.PoplarspokeError as exc:
@@ -142,19 +99,23 @@
         )
         if request.step in INSIDE_STEPS:
             return await self._continue_transaction(course)
+        return await self._send(course)
+
+    async def _send(self, course: Course) -> CallerAnswer:
+        """Sends the statement until it succeeds or must not be repeated."""
         self._budget = retries.count_request(
             retries.refill(self._budget, self._now_s()),
         )
         while True:
             plan = await self._plan(course)
             if plan.refused:
-                attempt = self._describe_attempt(course, plan, plan.refusal)
+                attempt = self._describe(course, plan, plan.refusal)
             else:
                 outcome = await self._attempt(course, plan)
                 if not outcome.refused:
                     return self._answer(course, plan.statement, outcome)
-                self._note_unknown(course, plan.statement, outcome)
-                attempt = self._describe_attempt(course, plan, outcome.refusal)
+                courses.note_unknown(course, plan.statement, outcome)
+                attempt = self._describe(course, plan, outcome.refusal)
             refusal = await self._prepare_retry(course, attempt)
             if refusal is not None:
                 return self._refuse(course, refusal)
@@ -195,7 +156,9 @@
             AdmissionCounted(request.workspace, admitted),
         )
         if admitted:
-            self._note(course, 'admitted', request.workspace, '')
+            courses.note_step(
+                course, self._now_s(), 'admitted', request.workspace, ''
+            )
             return
         raise errors.RefusedError(
             errors.refuse(
@@ -214,8 +177,9 @@
                 break
             course['waited_s'] += plan.choice.wait_s
             await anyio.sleep(plan.choice.wait_s)
-        self._note(
+        courses.note_step(
             course,
+            self._now_s(),
             'planned',
             plan.choice.endpoint,
             plan.choice.reason.name.lower(),
@@ -257,7 +221,9 @@
         plan: StatementPlan,
     ) -> StatementResult:
         statement = plan.statement
-        self._note(course, 'sent', plan.owner, statement.endpoint)
+        courses.note_step(
+            course, self._now_s(), 'sent', plan.owner, statement.endpoint
+        )
         outcome = await self._run_statement(plan.owner, statement)
         if outcome.refused or statement.write:
             return outcome
@@ -299,10 +265,12 @@
                 confirm=request.step is TransactionStep.COMMIT,
             ),
         )
-        self._note(course, 'sent', owner, request.transaction)
+        courses.note_step(
+            course, self._now_s(), 'sent', owner, request.transaction
+        )
         outcome = await self._run_statement(owner, statement)
         if outcome.refused:
-            self._note_unknown(course, statement, outcome)
+            courses.note_unknown(course, statement, outcome)
             return self._refuse(course, outcome.refusal)
         return self._answer(course, statement, outcome)
 
@@ -319,48 +287,20 @@
         )
         self._budget = spending.budget
         if spending.plan.retry:
-            self._note(course, 'retry', '', attempt.kind.name.lower())
+            courses.note_step(
+                course, self._now_s(), 'retry', '', attempt.kind.name.lower()
+            )
             await anyio.sleep(spending.plan.delay_s)
             return None
         return retries.report(attempt, spending.plan)
 
-    def _describe_attempt(
+    def _describe(
         self,
         course: Course,
         plan: StatementPlan,
         refusal: Refusal,
     ) -> Attempt:
-        return Attempt(
-            kind=FAILURE_KINDS[refusal.outcome],
-            repeat=plan.statement.repeat,
-            step=course['request'].step,
-            write=plan.statement.write,
-            number=course['number'],
-            remaining_s=course['until_s'] - self._now_s(),
-            earlier_unknown=course['unknown'],
-            refusal=refusal,
-        )
-
-    def _note_unknown(
-        self,
-        course: Course,
-        statement: Statement,
-        outcome: StatementResult,
-    ) -> None:
-        """Marks the session after a write that may have run."""
-        if outcome.refusal.outcome is not Outcome.UNKNOWN:
-            return
-        if not statement.write or not statement.database:
-            return
-        course['unknown'] = True
-        session = course['session']
-        course['session'] = session._replace(
-            positions=sessions.mark_unknown(
-                session.positions,
-                statement.database,
-                statement.term,
-            ),
-        )
+        return courses.describe_attempt(course, plan, refusal, self._now_s())
 
     def _answer(
         self,
@@ -368,17 +308,9 @@
         statement: Statement,
         outcome: StatementResult,
     ) -> CallerAnswer:
-        session = course['session']
-        database = outcome.database or statement.database
-        if not outcome.replica and outcome.position.term:
-            session = session._replace(
-                positions=sessions.replace_position(
-                    session.positions,
-                    database,
-                    outcome.position,
-                ),
-            )
-        course['session'] = session
+        courses.note_position(course, statement, outcome)
+        views = courses.list_views(statement, outcome)
+        self._mesh.post('dispatch', EndpointViews(views))
         if not statement.write:
             self._mesh.post('metrics', ReadCounted(outcome.replica))
         return CallerAnswer(
@@ -414,16 +346,6 @@
             self._identity.token_secrets,
         )
 
-    def _note(
-        self,
-        course: Course,
-        step: str,
-        subject: str,
-        evidence: str,
-    ) -> None:
-        at_s = self._now_s() - course['started_s']
-        course['steps'].append(RequestStep(at_s, step, subject, evidence))
-
     def _record(self, course: Course, answer: CallerAnswer) -> None:
         request = course['request']
         self._mesh.post(
@@ -435,15 +357,4 @@
                 answer.refusal.code,
             ),
         )
-        trace = RequestTrace(
-            request_id=request.request_id,
-            host=self._identity.host,
-            workspace=request.workspace,
-            route=request.route,
-            settings_version=course['settings_version'],
-            steps=tuple(course['steps']),
-            refused=answer.refused,
-            code=answer.refusal.code,
-            outcome=answer.refusal.outcome,
-        )
-        self._mesh.post('traces', trace)
+        self._mesh.post('traces', courses.build_trace(course, answer))
--- a/poplarspoke/rates.py
+++ b/poplarspoke/rates.py
@@ -9,7 +9,14 @@
 
 from poplarspoke import admission, borrowing, buckets, leases, shares
 from poplarspoke.generated.common import Tick
-from poplarspoke.generated.platform import CommitResult, ReadRows, Row, RowsRead
+from poplarspoke.generated.drains import ReleaseLeases
+from poplarspoke.generated.platform import (
+    CommitResult,
+    ReadRows,
+    Row,
+    RowsRead,
+    StoreLost,
+)
 from poplarspoke.generated.rates import (
     AdmitRequest,
     BorrowTokens,
@@ -109,7 +116,15 @@
 
 
 @decide.register
-def _(message: LeaveRates, state: Rates, now_s: float) -> list[Outgoing]:
+def _(message: StoreLost, state: Rates, now_s: float) -> list[Outgoing]:
+    # The commit may have taken effect, so its answer is waited for as before.
+    return []
+
+
+@decide.register
+def _(
+    message: LeaveRates | ReleaseLeases, state: Rates, now_s: float
+) -> list[Outgoing]:
     state['leases']['leaving'] = True
     state['next_commit_s'] = now_s
     shares.refresh(state, now_s)
--- a/poplarspoke/schema/acknowledgements.capnp
+++ b/poplarspoke/schema/acknowledgements.capnp
@@ -13,6 +13,7 @@
 struct MajorityReached {
   # A majority held the position while its term was current.
   requestId @0 :Text;
+  holders @1 :List(Text);  # Members that confirmed the position.
 }
 
 struct MajorityMissed {
--- a/poplarspoke/schema/configuration.capnp
+++ b/poplarspoke/schema/configuration.capnp
@@ -10,6 +10,7 @@
   why @5 :Text;
   path @6 :Text;
   changeId @7 :Text;
+  ageS @8 :Float64;  # Seconds since it was accepted, or less.
 }
 
 struct FetchSettings {
--- a/poplarspoke/schema/drains.capnp
+++ b/poplarspoke/schema/drains.capnp
@@ -14,12 +14,6 @@
   leaving @1 :Bool;
 }
 
-struct PrimaryKnown {
-  # Names the primary of a database.
-  database @0 :Text;
-  endpoint @1 :Text;
-}
-
 struct EndpointWeight {
   # Share of new work that an endpoint gets.
   endpoint @0 :Text;
@@ -39,13 +33,6 @@
   reason @1 :Text;
 }
 
-struct HandOver {
-  # Asks for a failover with the reason drain.
-  database @0 :Text;
-  endpoint @1 :Text;  # Primary that leaves.
-  reason @2 :Text;
-}
-
 struct ReadyChanged {
   # Tells whether this host may get new requests.
   ready @0 :Bool;
@@ -77,3 +64,4 @@
   # Tells the daemon that it may exit.
   openWork @0 :UInt64;  # Work that was cut off by the grace period.
 }
+
--- a/poplarspoke/schema/requests.capnp
+++ b/poplarspoke/schema/requests.capnp
@@ -58,6 +58,7 @@
   endpoint @13 :Text;  # Endpoint that routing picked.
   term @14 :UInt64;  # Term of the primary that the sender knows.
   confirm @15 :Bool;  # A majority must confirm the position first.
+  replica @16 :Bool;  # The endpoint is a replica.
 }
 
 struct StatementResult {
@@ -74,6 +75,7 @@
   refused @9 :Bool;
   queued @10 :UInt32;  # Statements that waited for a slot of the endpoint.
   database @11 :Text;
+  holders @12 :List(Text);  # Replicas that confirmed the position.
 }
 
 struct CallerAnswer {
--- a/poplarspoke/store.py
+++ b/poplarspoke/store.py
@@ -6,9 +6,11 @@
 
 import functools
 from collections.abc import Callable
+from contextlib import AsyncExitStack
 from typing import Any, Self, TypeAlias
 
 import anyio
+from anyio.abc import TaskGroup
 
 from poplarspoke import errors, web
 from poplarspoke.generated.platform import (
@@ -169,3 +171,40 @@
             except errors.StoreError as exc:
                 answer = StoreLost(str(exc))
             self._on_answer(self._task, answer)
+
+
+class Stores:
+    """One ``StoreTask`` for each task that asks the platform.
+
+    An async context manager that owns them.
+    """
+
+    def __init__(self, address: str, on_answer: OnAnswer) -> None:
+        """Takes the platform's ``IP:port`` and where answers go."""
+        self._address = address
+        self._on_answer = on_answer
+        self._tasks: dict[str, StoreTask] = {}
+        self._group: TaskGroup
+        self._stack = AsyncExitStack()
+
+    async def __aenter__(self) -> Self:
+        """Returns the owner of no connection yet."""
+        await self._stack.__aenter__()
+        return self
+
+    async def __aexit__(self, *exc: Any) -> None:
+        """Closes the connections."""
+        await self._stack.__aexit__(*exc)
+
+    def attach(self, group: TaskGroup) -> None:
+        """Takes the task group in which the requests are carried."""
+        self._group = group
+
+    def post(self, task: str, message: Any) -> None:
+        """Queues a request of a task."""
+        if task not in self._tasks:
+            carrier = StoreTask(self._address, task, self._on_answer)
+            self._stack.push_async_exit(carrier)
+            self._tasks[task] = carrier
+            self._group.start_soon(carrier.run)
+        self._tasks[task].post(message)
--- a/poplarspoke/tasks.py
+++ b/poplarspoke/tasks.py
@@ -54,6 +54,7 @@
 
 Outgoing: TypeAlias = ToHost | ToStore | ToTask | ToEndpoint | Reply
 Decide: TypeAlias = Callable[[Any, Any, float], list[Outgoing]]
+Post: TypeAlias = Callable[[Any], bool]
 SendToHost: TypeAlias = Callable[[str, Any], None]
 SendToStore: TypeAlias = Callable[[str, Any], None]
 SendToEndpoint: TypeAlias = Callable[[str, str, Any], None]
@@ -99,6 +100,7 @@
         self.state = state
         self._decide = decide
         self._tick_s = tick_s
+        self._stopped = False
         self._answers: dict[str, MemoryObjectSendStream[Any]] = {}
         ends = anyio.create_memory_object_stream[Envelope](INBOX_SIZE)
         self._inbox = ends[0]
@@ -155,7 +157,7 @@
             now_s: Monotonic clock in seconds.
         """
         next_tick_s = now_s()
-        while True:
+        while not self._stopped:
             wait_s = max(next_tick_s - now_s(), 0)
             envelope = Envelope(Tick())
             with anyio.move_on_after(wait_s):
@@ -166,6 +168,10 @@
             for outgoing in self._decide(envelope.message, self.state, now_s()):
                 deliver(outgoing, self)
 
+    def stop(self) -> None:
+        """Ends the task with its next message or tick."""
+        self._stopped = True
+
     def answer(self, reply: Reply) -> None:
         """Passes a reply to whoever asked; drops it if nobody waits."""
         stream = self._answers.pop(reply.request_id, None)
@@ -206,6 +212,7 @@
     ) -> None:
         """Keeps where messages for peers, platform and endpoints go."""
         self.tasks: dict[str, Task] = {}
+        self._inboxes: dict[str, Post] = {}
         self.send_to_host = send_to_host
         self.send_to_store = send_to_store
         self.send_to_endpoint = send_to_endpoint
@@ -214,12 +221,24 @@
     def start(self, task: Task, group: TaskGroup) -> None:
         """Starts a task in a task group."""
         self.tasks[task.name] = task
+        self.register(task.name, task.post)
         group.start_soon(task.run, self.deliver, self._now_s, name=task.name)
 
+    def register(self, name: str, post: Post) -> None:
+        """Names an inbox that is not the one of a decision task."""
+        self._inboxes[name] = post
+
     def post(self, name: str, message: Any) -> bool:
-        """Posts a message to a task; False if it is missing or full."""
-        task = self.tasks.get(name)
-        return task is not None and task.post(message)
+        """Posts a message to an inbox; False if it is missing or full."""
+        post = self._inboxes.get(name)
+        return post is not None and post(message)
+
+    def stop(self, name: str) -> None:
+        """Ends a task and forgets its inbox."""
+        self._inboxes.pop(name, None)
+        task = self.tasks.pop(name, None)
+        if task is not None:
+            task.stop()
 
     def deliver(self, outgoing: Outgoing, task: Task) -> None:
         """Passes an outgoing message of a task on."""
--- a/poplarspoke/transactions.py
+++ b/poplarspoke/transactions.py
@@ -17,6 +17,7 @@
     Tick,
 )
 from poplarspoke.generated.connections import ConnectionGone, Release
+from poplarspoke.generated.drains import EndTransactions
 from poplarspoke.generated.requests import TransactionStep
 from poplarspoke.generated.transactions import (
     BeginTransaction,
@@ -303,6 +304,18 @@
     return []
 
 
+@decide.register
+def _(
+    message: EndTransactions,
+    state: TransactionState,
+    now_s: float,
+) -> list[Outgoing]:
+    for transaction in state['open'].values():
+        if message.endpoint in {WHOLE_HOST, transaction['endpoint']}:
+            transaction['end_at_s'] = now_s
+    return []
+
+
 @decide.register
 def _(message: Tick, state: TransactionState, now_s: float) -> list[Outgoing]:
     outgoing: list[Outgoing] = []
--- a/poplarspoke/versions.py
+++ b/poplarspoke/versions.py
@@ -197,7 +197,8 @@
         answer.rows[records.HEAD_KEY],
         answer.rows[records.DOCUMENT_KEY],
     )
-    adopt(state, snapshot, answer.now_s)
+    age_s = max(answer.message.now_s - snapshot.accepted_at_s, 0)
+    adopt(state, snapshot._replace(age_s=age_s), answer.now_s)
     note_head(state, answer)
 
 
--- a/poplarspoke/web.py
+++ b/poplarspoke/web.py
@@ -67,6 +67,13 @@
     headers: tuple[Header, ...] = ()
     content_type: str = JSON_TYPE
 
+    def find_header(self, name: str) -> str:
+        """Returns the value of a header, empty if it is absent."""
+        for header in self.headers:
+            if header.name == name:
+                return header.value
+        return ''
+
 
 Handler: TypeAlias = Callable[[Request], Awaitable[Response]]
 
--- /dev/null
+++ b/poplarspoke/wiring.py
@@ -0,0 +1,241 @@
+"""What the daemon does with messages that no decision task takes."""
+
+import functools
+import json
+from typing import Any, Protocol
+
+import anyio
+
+from poplarspoke import owners, shares
+from poplarspoke.generated.configuration import (
+    FetchSettings,
+    SettingsFreshness,
+    SettingsInForce,
+    SettingsSnapshot,
+)
+from poplarspoke.generated.drains import (
+    ReadyChanged,
+    ShutdownFinished,
+    StopAccepting,
+)
+from poplarspoke.generated.failover import FailoverReason, PrimaryAnnounced
+from poplarspoke.generated.membership import (
+    EndpointViews,
+    Heartbeat,
+    HostsChanged,
+)
+from poplarspoke.generated.operators import SettingsObserved
+from poplarspoke.generated.rates import (
+    BorrowTokens,
+    LeasePromised,
+    LendTokens,
+    LivePeers,
+    PromiseLease,
+    RateSettings,
+    WorkspaceRate,
+)
+from poplarspoke.generated.settings import Document
+from poplarspoke.generated.transactions import TransactionEnded
+from poplarspoke.owners import Owners
+from poplarspoke.tasks import Mesh
+
+
+class FleetSettings:
+    """What the wiring remembers of the settings in force.
+
+    Attributes:
+        version: Version in force, 0 before the first.
+        hosts: Hosts that the settings list.
+        changed_s: When that list changed, monotonic clock.
+        is_complete: Whether no version was skipped since the first.
+    """
+
+    def __init__(self, now_s: float) -> None:
+        """Starts without settings."""
+        self.version = 0
+        self.hosts: tuple[str, ...] = ()
+        self.changed_s = now_s
+        self.is_complete = True
+
+    def update(
+        self,
+        snapshot: SettingsSnapshot,
+        hosts: tuple[str, ...],
+        now_s: float,
+    ) -> None:
+        """Takes the hosts of a version that has come into force."""
+        self.is_complete &= snapshot.version == self.version + 1
+        self.version = snapshot.version
+        if hosts == self.hosts:
+            return
+        # No host had a share before the first list of hosts, so that one
+        # needs no time to change over.
+        is_first = self.is_complete and not self.hosts
+        age_s = shares.CHANGE_OVER_S if is_first else snapshot.age_s
+        self.hosts = hosts
+        self.changed_s = now_s - age_s
+
+
+class Daemon(Protocol):
+    """What the functions of this module need of the daemon.
+
+    Attributes:
+        name: Name of the host.
+        mesh: Its tasks.
+        owners: Tasks of its databases and endpoints.
+        fleet: What is remembered of the settings.
+        finished: Set when the shutdown is complete.
+    """
+
+    name: str
+    mesh: Mesh
+    owners: Owners
+    fleet: FleetSettings
+    finished: anyio.Event
+
+    def now_s(self) -> float:
+        """Returns the monotonic clock in seconds."""
+
+    def note_act(self, event: str, subject: str, evidence: str) -> None:
+        """Logs an automatic act and keeps it for the operators."""
+
+    def link_peers(self, addresses: dict[str, str]) -> None:
+        """Opens links to the hosts of the fleet."""
+
+    def show_ready(self, ready: ReadyChanged) -> None:
+        """Shows the readiness to the load balancer."""
+
+    def begin_shutdown(self) -> None:
+        """Makes each caller's connection close after its answer."""
+
+
+@functools.singledispatch
+def route_message(message: Any, mesh: Mesh) -> None:
+    """Passes a one-way message of a peer to the task that handles it."""
+
+
+@route_message.register
+def _(message: Heartbeat, mesh: Mesh) -> None:
+    mesh.post('membership', message)
+    mesh.post('dispatch', EndpointViews(message.endpoints))
+
+
+@route_message.register
+def _(
+    message: BorrowTokens | LendTokens | PromiseLease | LeasePromised,
+    mesh: Mesh,
+) -> None:
+    mesh.post('rates', message)
+
+
+@route_message.register
+def _(message: FetchSettings | SettingsSnapshot, mesh: Mesh) -> None:
+    mesh.post('configuration', message)
+
+
+@route_message.register
+def _(message: PrimaryAnnounced, mesh: Mesh) -> None:
+    mesh.post(owners.name_failover(message.database), message)
+    mesh.post('dispatch', message)
+
+
+@functools.singledispatch
+def handle_message(message: Any, daemon: Daemon) -> None:
+    """Carries out what a task asks of the daemon's wiring."""
+    raise TypeError(f'{type(message).__name__} is no message to the daemon')
+
+
+@handle_message.register
+def _(message: SettingsInForce, daemon: Daemon) -> None:
+    document: Document = json.loads(message.snapshot.document)
+    now_s = daemon.now_s()
+    snapshot = message.snapshot
+    daemon.owners.update(document, now_s)
+    hosts = tuple(sorted(document.get('hosts', {})))
+    daemon.fleet.update(snapshot, hosts, now_s)
+    daemon.mesh.post(
+        'rates',
+        RateSettings(
+            version=snapshot.version,
+            hosts=hosts,
+            workspaces=_list_rates(document),
+            hosts_changed_ago_s=now_s - daemon.fleet.changed_s,
+        ),
+    )
+    daemon.note_act(
+        'settings_in_force',
+        snapshot.path,
+        f'version {snapshot.version} by {snapshot.who}: {snapshot.why}',
+    )
+
+
+@handle_message.register
+def _(message: SettingsFreshness, daemon: Daemon) -> None:
+    confirmed_ago_s = daemon.now_s() - message.confirmed_at_s
+    daemon.mesh.post(
+        'metrics',
+        SettingsObserved(message.version, max(confirmed_ago_s, 0)),
+    )
+
+
+@handle_message.register
+def _(message: HostsChanged, daemon: Daemon) -> None:
+    addresses = {
+        entry.host: entry.address for entry in message.hosts if entry.address
+    }
+    daemon.link_peers(addresses)
+    live = tuple(entry.host for entry in message.hosts if entry.live)
+    daemon.mesh.post('rates', LivePeers(live))
+
+
+@handle_message.register
+def _(message: PrimaryAnnounced, daemon: Daemon) -> None:
+    if message.sender != daemon.name:
+        return
+    if message.reason is FailoverReason.NONE:
+        return
+    daemon.note_act(
+        'primary_changed',
+        message.database,
+        f'{message.primary} in term {message.term}, '
+        f'{message.reason.name.lower()}: {message.evidence}',
+    )
+
+
+@handle_message.register
+def _(message: TransactionEnded, daemon: Daemon) -> None:
+    daemon.note_act(
+        'transaction_ended',
+        message.endpoint,
+        message.reason.name.lower(),
+    )
+
+
+@handle_message.register
+def _(message: ReadyChanged, daemon: Daemon) -> None:
+    daemon.show_ready(message)
+    daemon.note_act('readiness_changed', daemon.name, message.reason)
+
+
+@handle_message.register
+def _(message: StopAccepting, daemon: Daemon) -> None:
+    daemon.begin_shutdown()
+
+
+@handle_message.register
+def _(message: ShutdownFinished, daemon: Daemon) -> None:
+    daemon.note_act(
+        'shutdown_finished',
+        daemon.name,
+        f'{message.open_work} open requests or transactions were ended',
+    )
+    daemon.finished.set()
+
+
+def _list_rates(document: Document) -> tuple[WorkspaceRate, ...]:
+    found: list[WorkspaceRate] = []
+    for team in document['teams'].values():
+        for name, workspace in team.get('workspaces', {}).items():
+            rate = WorkspaceRate(name, workspace['rate'], workspace['burst'])
+            found.append(rate)
+    return tuple(found)
