Read from a replica that has probably caught up

Cause: the view of a replica is up to 0.5 s old, the heartbeat interval, so a read soon after a write found every replica behind, waited 50 ms and went to the primary. Ruled out: more heartbeats (their number is bounded by the target) and longer waits (latency).

A replica whose replication delay was shorter than its view is old is asked at once; the answer is checked, and the read goes to the primary if it is behind. A read that a majority did not confirm is retried now, and is no longer reported as not run.

The local fleet waits for each of its first settings versions, since a host that skipped one refused requests for 16 s.

--- a/poplarspoke/dispatch.py
+++ b/poplarspoke/dispatch.py
@@ -47,7 +47,11 @@
 # A view that nobody renewed for this long no longer shows a reachable endpoint.
 VIEW_VALID_S = 3.0
 REPLICA_REASONS = frozenset(
-    (RouteReason.OWN_ZONE_REPLICA, RouteReason.OTHER_ZONE_REPLICA),
+    (
+        RouteReason.OWN_ZONE_REPLICA,
+        RouteReason.OTHER_ZONE_REPLICA,
+        RouteReason.LIKELY_REPLICA,
+    ),
 )
 REPEATS = {
     'safe': Repeat.SAFE,
--- a/poplarspoke/execution.py
+++ b/poplarspoke/execution.py
@@ -333,9 +333,10 @@
             'no majority of members confirmed the write',
             outcome=Outcome.UNKNOWN,
         )
+    # The read ran, so it was not "not run"; it may be repeated.
     return errors.refuse(
         ErrorCode.NOT_PRIMARY,
         'no majority of members confirmed the primary; '
         f'highest term {reply.adopted_term}',
-        outcome=Outcome.FAILED,
+        outcome=Outcome.UNKNOWN,
     )
--- a/poplarspoke/fleet.py
+++ b/poplarspoke/fleet.py
@@ -291,7 +291,6 @@
             await self.start_host(name)
         for name in self.hosts:
             await self._wait_for_version(name, 0)
-        version = 0
         for path, content in self.describe_settings().items():
             version = await self.change(
                 path,
@@ -299,7 +298,9 @@
                 who='demo',
                 why='first settings of the demonstration',
             )
-        await self.wait_in_force(version)
+            # A host that skips a version cannot tell that its list of hosts
+            # is the first one, and waits 16 s before it uses its share.
+            await self.wait_in_force(version)
 
     async def _start(
         self,
--- a/poplarspoke/proxy.py
+++ b/poplarspoke/proxy.py
@@ -8,7 +8,7 @@
 
 from poplarspoke import courses, errors, retries, routing, tokens, transactions
 from poplarspoke.courses import Course
-from poplarspoke.generated.common import ErrorCode, Refusal
+from poplarspoke.generated.common import ErrorCode, Outcome, Refusal
 from poplarspoke.generated.dispatch import PlanStatement, StatementPlan
 from poplarspoke.generated.keys import CheckKey, KeyAccepted
 from poplarspoke.generated.membership import EndpointViews
@@ -114,6 +114,9 @@
                 outcome = await self._attempt(course, plan)
                 if not outcome.refused:
                     return self._answer(course, plan.statement, outcome)
+                if outcome.replica:
+                    # Its position is behind; the primary is asked at once.
+                    continue
                 courses.note_unknown(course, plan.statement, outcome)
                 attempt = self._describe(course, plan, outcome.refusal)
             refusal = await self._prepare_retry(course, attempt)
@@ -238,11 +241,16 @@
             primary=not outcome.replica,
         ):
             return outcome
+        # The next plan neither waits for a replica nor guesses one.
+        is_first = course['waited_s'] < routing.MAX_WAIT_S
+        course['waited_s'] = routing.MAX_WAIT_S
         return outcome._replace(
+            replica=outcome.replica and is_first,
             refused=True,
             refusal=errors.refuse(
                 ErrorCode.NO_ENDPOINT,
                 f'endpoint {outcome.endpoint} is behind the session',
+                outcome=Outcome.UNKNOWN,
             ),
         )
 
--- a/poplarspoke/routing.py
+++ b/poplarspoke/routing.py
@@ -25,6 +25,8 @@
 RAMP_START = 0.1
 # With 2 slots, a statement behind 8 others waits for 4 service times.
 BUSY_QUEUED = 8
+# Longer delays are too often not over when the read arrives.
+LIKELY_DELAY_S = 0.1
 
 Candidates = tuple[Candidate, ...]
 
@@ -54,6 +56,13 @@
     sorted_out = _sort_replicas(query, candidates)
     if sorted_out.usable:
         return _choose_replica(query, sorted_out)
+    likely = _find_likely(query, candidates)
+    if likely is not None:
+        return RouteChoice(
+            endpoint=likely.view.endpoint,
+            reason=RouteReason.LIKELY_REPLICA,
+            passed=sorted_out.passed,
+        )
     if _can_wait(query, sorted_out.passed):
         return RouteChoice(
             reason=RouteReason.WAIT_FOR_REPLICA,
@@ -216,6 +225,38 @@
     return any(entry.reason is PassReason.BEHIND for entry in passed)
 
 
+def _find_likely(
+    query: RouteQuery,
+    candidates: Candidates,
+) -> Candidate | None:
+    """Returns a replica that has probably caught up since its last view.
+
+    A replica whose replication delay is shorter than its view is old has
+    probably applied what it lacked. Its answer is checked by ``accepts``; if
+    it is refused, the read goes to the primary.
+    """
+    if query.waited_s > 0:
+        return None
+    likely = [
+        candidate
+        for candidate in candidates
+        if _may_have_caught_up(query, candidate)
+    ]
+    ranked = sorted(likely, key=lambda found: _rank_replica(query, found))
+    return ranked[0] if ranked else None
+
+
+def _may_have_caught_up(query: RouteQuery, candidate: Candidate) -> bool:
+    view = candidate.view
+    if _check_replica(query, candidate) is not PassReason.BEHIND:
+        return False
+    if query.required.position == sessions.UNKNOWN_POSITION:
+        return False
+    is_busy = view.queued >= BUSY_QUEUED
+    is_slow = view.age_s > LIKELY_DELAY_S
+    return not is_busy and not is_slow and view.observed_ago_s > view.age_s
+
+
 def _choose_replica(query: RouteQuery, sorted_out: _Sorted) -> RouteChoice:
     ranked = sorted(
         sorted_out.usable,
--- a/poplarspoke/schema/routing.capnp
+++ b/poplarspoke/schema/routing.capnp
@@ -12,6 +12,7 @@
   primaryForStrictRead @4;
   primaryAsFallback @5;
   waitForReplica @6;
+  likelyReplica @7;
 }
 
 enum PassReason {
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -154,3 +154,39 @@
     counts = collections.Counter(owners.values())
     assert min(counts.values()) > 25
     assert not routing.find_owner('endpoint', [])
+
+
+def test_guesses_a_replica_with_a_short_delay() -> None:
+    """Reads soon after a write must not all load the primary."""
+    near = change(NEAR, last=BEHIND, age_s=0.02, observed_ago_s=0.3)
+    choice = routing.choose(READ, (PRIMARY, near))
+    assert (choice.endpoint, choice.reason) == (
+        'near',
+        RouteReason.LIKELY_REPLICA,
+    )
+
+
+@pytest.mark.parametrize(
+    ('query', 'near'),
+    [
+        (READ, change(NEAR, last=BEHIND, age_s=0.2, observed_ago_s=0.3)),
+        (READ, change(NEAR, last=BEHIND, age_s=0.05, observed_ago_s=0.01)),
+        (
+            READ._replace(waited_s=routing.MAX_WAIT_S),
+            change(NEAR, last=BEHIND, age_s=0.02, observed_ago_s=0.3),
+        ),
+        (
+            READ._replace(
+                required=Position(TERM, sessions.UNKNOWN_POSITION),
+            ),
+            change(NEAR, age_s=0.02, observed_ago_s=0.3),
+        ),
+    ],
+)
+def test_does_not_guess_twice_or_a_slow_replica(
+    query: RouteQuery,
+    near: Candidate,
+) -> None:
+    """A guess that must fail costs a slot of the replica for nothing."""
+    choice = routing.choose(query, (PRIMARY, near))
+    assert choice.reason is not RouteReason.LIKELY_REPLICA
