--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,65 @@
+"""Measures what a daemon costs, by the sizes that drive it.
+
+Run ``python -m bench.capacity`` for all series, or with words of their names
+for some. Each series prints a table and writes JSON under ``out/capacity/``;
+docs/CAPACITY.md works the target out from the slopes.
+"""
+
+import json
+import pathlib
+import sys
+
+from bench import capacity_control, capacity_path
+from bench.capacity_measure import Sample, Series, fit, measure
+
+OUT = pathlib.Path('out/capacity')
+COLUMNS = ('cpu_us', 'messages', 'sent_bytes', 'state_bytes')
+
+
+def run(series: Series) -> None:
+    """Measures a series, prints its table and writes its JSON."""
+    samples = [measure(series, size) for size in series.sizes]
+    print(f'{series.name}: figures for each {series.unit}')
+    for sample in samples:
+        print(_format(series, sample))
+    sizes = [float(sample.size) for sample in samples]
+    slopes = {}
+    for column in COLUMNS:
+        figures = [float(getattr(sample, column)) for sample in samples]
+        slopes[column] = fit(sizes, figures)._asdict()
+        line = slopes[column]
+        print(
+            f'  {column}: {line["base"]:.1f} + {line["slope"]:.4f} for each of '
+            f'{series.driver}, worst miss {line["worst_miss"]:.0%}',
+        )
+    report = {
+        'series': series.name,
+        'driver': series.driver,
+        'unit': series.unit,
+        'samples': [sample._asdict() for sample in samples],
+        'slopes': slopes,
+    }
+    name = series.name.replace(' ', '-')
+    (OUT / f'{name}.json').write_text(json.dumps(report, indent=1))
+
+
+def _format(series: Series, sample: Sample) -> str:
+    return (
+        f'  {sample.size:5} {series.driver}: {sample.cpu_us:11.1f} us '
+        f'[{sample.cpu_low_us:.1f}, {sample.cpu_high_us:.1f}], '
+        f'{sample.messages:8.1f} messages, {sample.sent_bytes:10.0f} bytes, '
+        f'state {sample.state_bytes:10}'
+    )
+
+
+def main() -> None:
+    """Runs the series whose names have one of the words of the command."""
+    words = sys.argv[1:]
+    OUT.mkdir(parents=True, exist_ok=True)
+    for series in (*capacity_control.SERIES, *capacity_path.SERIES):
+        if not words or any(word in series.name for word in words):
+            run(series)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/bench/capacity_control.py
@@ -0,0 +1,742 @@
+"""Drivers of the control modules: what a daemon does without any statement.
+
+One unit is a second of virtual time, or one event where the series says so.
+"""
+
+import json
+from typing import Any
+
+from bench import capacity_world as worlds
+from bench.capacity_measure import Round, Series, Work, receive, send
+from poplarspoke import (
+    attempts,
+    changes,
+    codec,
+    configuration,
+    dispatch,
+    drains,
+    failover,
+    keys,
+    leases,
+    membership,
+    metrics,
+    rates,
+    records,
+    shares,
+    units,
+)
+from poplarspoke.generated.common import Position, Tick
+from poplarspoke.generated.configuration import (
+    ChangeSettings,
+    PeerState,
+    SettingsFreshness,
+)
+from poplarspoke.generated.drains import WorkCount
+from poplarspoke.generated.failover import CandidateRank, EndpointAnswered
+from poplarspoke.generated.members import MemberStatus, Role
+from poplarspoke.generated.membership import (
+    EndpointViews,
+    Heartbeat,
+    HostsChanged,
+    HostStatus,
+    HostView,
+)
+from poplarspoke.generated.operators import (
+    AdmissionCounted,
+    LeaseObserved,
+    QueueTimeCounted,
+    ShowMetrics,
+)
+from poplarspoke.generated.platform import (
+    CommitResult,
+    HostList,
+    Row,
+    RowsRead,
+)
+from poplarspoke.generated.rates import (
+    LeaseHolder,
+    LeaseRow,
+    LivePeers,
+    RateSettings,
+    WorkspaceRate,
+    WorkspaceUnits,
+)
+from poplarspoke.peers import PeerFrame
+from poplarspoke.tasks import ToStore
+
+# The daemon sets the ticks; tests/fleet.py and bench/rate_fleet.py use these.
+CONTROL_TICK_S = 0.25
+FAST_TICK_S = 0.05
+FLEET_SIZES = worlds.CURVE_HOSTS
+DATABASE_SIZES = (63, 210, 630)
+# The document of 630 databases is over its limit and is refused.
+ALLOWED_SIZES = (63, 210, 400)
+WORKSPACE_SIZES = (168, 560, 1680)
+ROUNDS_OF_MEMBERSHIP = 4
+
+
+class Heart:
+    """One host of a fleet and the heartbeats that reach it."""
+
+    def __init__(self, hosts: int) -> None:
+        """Takes the host with the most peers; lets it learn all others."""
+        databases = round(worlds.DATABASES * hosts / worlds.HOSTS)
+        self.world = worlds.create_world(hosts, databases)
+        host = worlds.find_busiest(hosts)
+        self.state = worlds.create_membership(self.world, host)
+        self.now_s = worlds.START_S
+        self.peers = membership.choose_peers(self.state)
+        self.sequence = 1
+        self.names = sorted(self.world.hosts)
+        self.views = EndpointViews(self._list_own(host))
+        membership.decide(self.views, self.state, self.now_s)
+        for _ in range(2 + len(self.names) // membership.MAX_VIEWS):
+            self.run_second()
+
+    def _list_own(self, host: str) -> tuple[Any, ...]:
+        place = self.names.index(host)
+        own = self.world.databases[place :: len(self.names)]
+        return worlds.list_views(own)[: membership.MAX_ENDPOINT_VIEWS]
+
+    def frames(self) -> list[bytes]:
+        """Returns the frames of one round of heartbeats to this host."""
+        self.sequence += 1
+        return [
+            codec.encode(PeerFrame(1, self._beat(place, name)))
+            for place, name in enumerate(self.peers)
+        ]
+
+    def _beat(self, place: int, name: str) -> Heartbeat:
+        start = (self.sequence * membership.MAX_VIEWS + place) % len(self.names)
+        doubled = self.names + self.names
+        return Heartbeat(
+            sender=name,
+            zone=self.world.hosts[name],
+            incarnation=1,
+            settings_version=1,
+            confirmed=True,
+            confirmed_ago_s=0.4,
+            store_reachable=True,
+            store_failed_ago_s=5000,
+            endpoints=self._list_own(name),
+            hosts=tuple(
+                HostView(other, 1, 0.4, settings_version=1, zone='zone-1')
+                for other in doubled[start : start + membership.MAX_VIEWS]
+                if other != name
+            ),
+            sequence=self.sequence,
+            echo_sequence=self.state['sequence'],
+            echo_ago_s=0.1,
+        )
+
+    def run_second(self) -> None:
+        """Runs one second without a measurement."""
+        self.act(self.frames(), self.frames())
+
+    def act(self, first: list[bytes], second: list[bytes]) -> Work:
+        """Handles two rounds of heartbeats and the ticks of a second."""
+        total = Work(1)
+        for frames in (first, second):
+            for _ in range(2):
+                self.now_s += CONTROL_TICK_S
+                sent = send(membership.decide(Tick(), self.state, self.now_s))
+                total = Work(
+                    1, total.messages + sent.messages, total.size + sent.size
+                )
+            for frame in frames:
+                membership.decide(receive(frame), self.state, self.now_s)
+        return total
+
+
+def build_membership(hosts: int) -> tuple[Any, Round]:
+    """Heartbeats of a second, in and out, with their frames."""
+    heart = Heart(hosts)
+    prepared = [(heart.frames(), heart.frames()) for _ in range(40)]
+
+    def act() -> Work:
+        total = Work(ROUNDS_OF_MEMBERSHIP)
+        for _ in range(ROUNDS_OF_MEMBERSHIP):
+            work = heart.act(*prepared.pop(0))
+            total = Work(
+                ROUNDS_OF_MEMBERSHIP,
+                total.messages + work.messages,
+                total.size + work.size,
+            )
+        return total
+
+    return heart.state, act
+
+
+def build_host_list(hosts: int) -> tuple[Any, Round]:
+    """One answer of the platform's list, parsed from its JSON."""
+    heart = Heart(hosts)
+    listed = HostList(tuple(worlds.list_entries(heart.world)), 1)
+    body = json.dumps(codec.to_object(listed))
+
+    def act() -> Work:
+        for _ in range(5):
+            message = codec.parse(HostList, json.loads(body))
+            membership.decide(message, heart.state, heart.now_s)
+        return Work(5, 5, 5 * len(body))
+
+    return heart.state, act
+
+
+def build_configuration(hosts: int) -> tuple[Any, Round]:
+    """Statements of peers, reads of the head row, confirmations."""
+    world = worlds.create_world(hosts, 21)
+    host = worlds.find_busiest(hosts)
+    names = membership.choose_peers(worlds.create_membership(world, host))
+    state = configuration.create_state(
+        host=host,
+        zone=world.hosts[host],
+        subscribers=('membership', 'keys', 'dispatch', 'drains', 'rates'),
+        now_s=worlds.START_S,
+    )
+    snapshot = worlds.create_snapshot(world)
+    configuration.decide(snapshot, state, worlds.START_S)
+    head = Row(records.HEAD_KEY, 1, _create_head())
+    clock = [worlds.START_S]
+
+    def act() -> Work:
+        for _ in range(10):
+            _run_configuration(state, clock, names, head)
+        return Work(10)
+
+    return state, act
+
+
+def _create_head() -> str:
+    change = ChangeSettings('change-1', 'red', 'teams', '{}', 'operator', 'b')
+    record = records.create_record(change, version=1, accepted_at_s=1)
+    return json.dumps(codec.to_object(record))
+
+
+def _run_configuration(
+    state: Any,
+    clock: list[float],
+    names: list[str],
+    head: Row,
+) -> None:
+    for _ in range(2):
+        for _ in range(2):
+            clock[0] += CONTROL_TICK_S
+            for out in configuration.decide(Tick(), state, clock[0]):
+                if isinstance(out, ToStore):
+                    configuration.decide(RowsRead((head,)), state, clock[0])
+        for name in names:
+            stated = PeerState(
+                name,
+                'zone-1',
+                1,
+                clock[0],
+                confirmed=True,
+                confirmed_ago_s=0.5,
+                store_reachable=True,
+            )
+            configuration.decide(stated, state, clock[0])
+
+
+def build_parse(databases: int) -> tuple[Any, Round]:
+    """Parses a settings document."""
+    world = _scale_world(databases)
+    text = worlds.create_snapshot(world).document
+    kept = [json.loads(text)]
+
+    def act() -> Work:
+        kept[0] = json.loads(text)
+        return Work(1)
+
+    return kept, act
+
+
+def _scale_world(databases: int) -> worlds.World:
+    hosts = max(worlds.HOSTS * databases // worlds.DATABASES, 8)
+    return worlds.create_world(hosts, databases)
+
+
+def build_apply(databases: int) -> tuple[Any, Round]:
+    """Validates and applies a change of one workspace's rate."""
+    world = _scale_world(databases)
+    document: Any = worlds.create_document(world)
+    change = ChangeSettings(
+        'change-2',
+        'team-0',
+        'teams/team-0/workspaces/workspace-0000/rate',
+        '600',
+        'operator',
+        'bench',
+    )
+
+    def act() -> Work:
+        changes.apply_change(document, change)
+        return Work(1)
+
+    return document, act
+
+
+def build_commit(databases: int) -> tuple[Any, Round]:
+    """Compresses the commit of a change; its bytes go to the table."""
+    world = _scale_world(databases)
+    snapshot = worlds.create_snapshot(world)
+    change = ChangeSettings(
+        'change-2',
+        'team-0',
+        'teams/team-0',
+        '1',
+        'operator',
+        'bench',
+    )
+    record = records.create_record(change, version=2, accepted_at_s=1)
+
+    def act() -> Work:
+        commit = records.create_commit(record, snapshot.document)
+        body = json.dumps(codec.to_object(commit))
+        return Work(1, 1, len(body))
+
+    return snapshot, act
+
+
+def build_read_document(databases: int) -> tuple[Any, Round]:
+    """Reads the document from the rows of the table; bytes of the answer."""
+    world = _scale_world(databases)
+    snapshot = worlds.create_snapshot(world)
+    change = ChangeSettings(
+        'change-1',
+        'team-0',
+        'teams/team-0',
+        '1',
+        'operator',
+        'bench',
+    )
+    record = records.create_record(change, version=1, accepted_at_s=1)
+    commit = records.create_commit(record, snapshot.document)
+    rows = tuple(Row(write.key, 1, write.content) for write in commit.writes)
+    body = json.dumps(codec.to_object(RowsRead(rows[:2], 1)))
+
+    def act() -> Work:
+        read = codec.parse(RowsRead, json.loads(body))
+        records.read_snapshot(read.rows[0], read.rows[1])
+        return Work(1, 1, len(body))
+
+    return rows, act
+
+
+def build_snapshot(databases: int) -> tuple[Any, Round]:
+    """Sends the document to a peer that is behind, and reads it there."""
+    snapshot = worlds.create_snapshot(_scale_world(databases))
+
+    def act() -> Work:
+        frame = codec.encode(PeerFrame(1, snapshot))
+        receive(frame)
+        return Work(1, 1, len(frame) + 4)
+
+    return snapshot, act
+
+
+def build_adopt_keys(databases: int) -> tuple[Any, Round]:
+    """Puts a version in force in the key check."""
+    state = keys.create_state()
+    return _build_adopt(databases, keys.decide, state)
+
+
+def build_adopt_dispatch(databases: int) -> tuple[Any, Round]:
+    """Puts a version in force in the dispatcher, with all hosts live."""
+    world = _scale_world(databases)
+    name = next(iter(world.hosts))
+    state = dispatch.create_state(name, world.hosts[name], seed=1)
+    dispatch.decide(create_changed(world), state, worlds.START_S)
+    return _build_adopt(databases, dispatch.decide, state)
+
+
+def build_adopt_drains(databases: int) -> tuple[Any, Round]:
+    """Puts a version in force in the drains."""
+    state = drains.create_state(zone='zone-1', subscribers=('dispatch',))
+    return _build_adopt(databases, drains.decide, state)
+
+
+def build_adopt_membership(databases: int) -> tuple[Any, Round]:
+    """Puts a version in force in the membership."""
+    world = _scale_world(databases)
+    state = worlds.create_membership(world, next(iter(world.hosts)))
+    return _build_adopt(databases, membership.decide, state)
+
+
+def _build_adopt(
+    databases: int,
+    decide: Any,
+    state: Any,
+) -> tuple[Any, Round]:
+    base = worlds.create_in_force(_scale_world(databases))
+    versions = [0]
+
+    def act() -> Work:
+        versions[0] += 1
+        snapshot = base.snapshot._replace(version=versions[0])
+        decide(base._replace(snapshot=snapshot), state, worlds.START_S)
+        return Work(1)
+
+    return state, act
+
+
+def create_changed(world: worlds.World) -> HostsChanged:
+    """Returns the news that all hosts of a world are live."""
+    return HostsChanged(
+        tuple(
+            HostStatus(name, zone, worlds.ADDRESS, live=True)
+            for name, zone in sorted(world.hosts.items())
+        ),
+    )
+
+
+def build_hosts_changed(hosts: int) -> tuple[Any, Round]:
+    """A host comes or goes: the dispatcher ranks every database again."""
+    world = worlds.create_world(hosts, worlds.DATABASES)
+    names = sorted(world.hosts)
+    state = dispatch.create_state(names[0], 'zone-0', seed=1)
+    dispatch.decide(worlds.create_in_force(world), state, worlds.START_S)
+    every = create_changed(world)
+    without = HostsChanged(every.hosts[:-1])
+
+    def act() -> Work:
+        dispatch.decide(every, state, worlds.START_S)
+        dispatch.decide(without, state, worlds.START_S)
+        return Work(2)
+
+    return state, act
+
+
+def build_views(databases: int) -> tuple[Any, Round]:
+    """The dispatcher holds views of all endpoints and renews its own ones."""
+    world = worlds.create_world(8, databases)
+    state = dispatch.create_state('h000.z0', 'zone-0', seed=1)
+    now_s = worlds.START_S
+    dispatch.decide(worlds.create_in_force(world), state, now_s)
+    views = EndpointViews(worlds.list_views(world.databases))
+    dispatch.decide(views, state, now_s)
+
+    def act() -> Work:
+        for _ in range(10):
+            dispatch.decide(Tick(), state, now_s)
+        return Work(10)
+
+    return state, act
+
+
+def build_take_views(databases: int) -> tuple[Any, Round]:
+    """A host takes views of all endpoints, one batch a second."""
+    world = worlds.create_world(8, databases)
+    state = dispatch.create_state('h000.z0', 'zone-0', seed=1)
+    dispatch.decide(worlds.create_in_force(world), state, worlds.START_S)
+    views = EndpointViews(worlds.list_views(world.databases))
+    clock = [worlds.START_S]
+
+    def act() -> Work:
+        clock[0] += 1
+        dispatch.decide(views, state, clock[0])
+        return Work(1)
+
+    return state, act
+
+
+def build_drains(databases: int) -> tuple[Any, Round]:
+    """A tick of the drains with every endpoint in service."""
+    return _build_drains(databases, Tick())
+
+
+def build_drain_counts(databases: int) -> tuple[Any, Round]:
+    """A work count for the drains with every endpoint in service."""
+    return _build_drains(databases, WorkCount('callers', 3))
+
+
+def _build_drains(databases: int, message: Any) -> tuple[Any, Round]:
+    state = drains.create_state(zone='zone-1', subscribers=('dispatch',))
+    world = worlds.create_world(8, databases)
+    drains.decide(worlds.create_in_force(world), state, worlds.START_S)
+
+    def act() -> Work:
+        for _ in range(20):
+            drains.decide(message, state, worlds.START_S)
+        return Work(20)
+
+    return state, act
+
+
+def build_failover_idle(databases: int) -> tuple[Any, Round]:
+    """Ticks of a second for the databases that this host does not act for."""
+    return _build_failover(databases, rank=attempts.ACTING_RANKS)
+
+
+def build_failover_acting(databases: int) -> tuple[Any, Round]:
+    """Ticks, probes and answers of a second where this host may act."""
+    return _build_failover(databases, rank=0)
+
+
+def _build_failover(databases: int, *, rank: int) -> tuple[Any, Round]:
+    clock = [worlds.START_S]
+    peers = tuple(worlds.create_world(worlds.HOSTS, 1).hosts)
+    states = []
+    for index in range(databases):
+        database = f'database-{index:03}'
+        places = tuple(
+            attempts.MemberPlace(name, f'zone-{place}', worlds.ADDRESS)
+            for place, name in enumerate(worlds.list_endpoints(database))
+        )
+        state = attempts.create_state(
+            'h000.z0',
+            1,
+            database,
+            places,
+            listeners=('dispatch',),
+            now_s=clock[0],
+        )
+        failover.decide(CandidateRank(rank, peers), state, clock[0])
+        failover.decide(Tick(), state, clock[0])
+        failover.decide(RowsRead((state['row'],)), state, clock[0])
+        states.append(state)
+
+    def act() -> Work:
+        size = 0
+        calls = 0
+        for _ in range(round(1 / FAST_TICK_S)):
+            clock[0] += FAST_TICK_S
+            for state in states:
+                for out in failover.decide(Tick(), state, clock[0]):
+                    size += _answer_probe(out, state, clock[0])
+                    calls += 1
+        return Work(1, calls, size)
+
+    return states, act
+
+
+def _answer_probe(out: Any, state: Any, now_s: float) -> int:
+    """Answers a probe; returns the bytes of the JSON body of the answer."""
+    name = getattr(out, 'endpoint', '')
+    if not name:
+        return 0
+    primary = f'{state["database"]}-m0'
+    role = Role.PRIMARY if name == primary else Role.REPLICA
+    status = MemberStatus(
+        name, worlds.TERM, role, Position(worlds.TERM, 1000), 0.1, primary, 0.1
+    )
+    body = json.dumps(codec.to_object(status))
+    parsed = codec.parse(MemberStatus, json.loads(body))
+    answer = EndpointAnswered(out.message.call_id, name, body=parsed)
+    failover.decide(answer, state, now_s)
+    return len(body)
+
+
+def _create_rate_settings(hosts: int, workspaces: int) -> RateSettings:
+    world = worlds.create_world(hosts, 1, workspaces)
+    return RateSettings(
+        1,
+        tuple(sorted(world.hosts)),
+        tuple(WorkspaceRate(name, 500, 1000) for name in world.workspaces),
+        60,
+    )
+
+
+def _create_rates(hosts: int, workspaces: int) -> tuple[Any, RateSettings]:
+    settings = _create_rate_settings(hosts, workspaces)
+    state = shares.create_state(
+        settings.hosts[0], incarnation=1, seed=1, now_s=worlds.START_S
+    )
+    rates.decide(settings, state, worlds.START_S)
+    rates.decide(LivePeers(settings.hosts), state, worlds.START_S)
+    return state, settings
+
+
+def build_rates(workspaces: int) -> tuple[Any, Round]:
+    """Ticks of a second of the rates, without a renewal of the lease."""
+    state = _create_rates(worlds.HOSTS, workspaces)[0]
+    clock = [worlds.START_S + 20]
+    state['next_commit_s'] = float('inf')
+
+    def act() -> Work:
+        for _ in range(round(1 / FAST_TICK_S)):
+            clock[0] += FAST_TICK_S
+            rates.decide(Tick(), state, clock[0])
+        return Work(1)
+
+    return state, act
+
+
+def _create_lease_row(settings: RateSettings) -> Row:
+    """Returns the row of a whole group, with an entry for each workspace."""
+    own = settings.hosts[0]
+    key = units.find_key(own, settings.hosts)
+    group = [
+        host
+        for host in settings.hosts
+        if units.find_key(host, settings.hosts) == key
+    ]
+    entries = tuple(
+        WorkspaceUnits(entry.workspace, units.UNITS // len(group), 1.25)
+        for entry in settings.workspaces
+    )
+    holders = tuple(LeaseHolder(host, 1, 1, 1, 1, entries) for host in group)
+    content = json.dumps(codec.to_object(LeaseRow(holders)))
+    return Row(key, 1, content)
+
+
+def build_lease(workspaces: int) -> tuple[Any, Round]:
+    """One renewal of the lease: plan, commit, answer; bytes of the commit."""
+    state, settings = _create_rates(worlds.HOSTS, workspaces)
+    clock = [worlds.START_S + 20]
+    row = _create_lease_row(settings)
+    rates.decide(RowsRead((row,)), state, clock[0])
+    version = [1]
+
+    def act() -> Work:
+        clock[0] += rates.RENEW_S
+        demand = dict.fromkeys(state['demand'], 1.25)
+        commit = leases.plan_commit(
+            state['leases'], demand, frozenset(), clock[0]
+        )
+        body = json.dumps(codec.to_object(commit))
+        version[0] += 1
+        written = Row(row.key, version[0], commit.writes[0].content)
+        rates.decide(
+            CommitResult(committed=True, rows=(written,)), state, clock[0]
+        )
+        return Work(1, 1, len(body))
+
+    return state, act
+
+
+def build_metrics(workspaces: int) -> tuple[Any, Round]:
+    """One rendering with every series of the workspaces in use."""
+    state = metrics.create_metrics()
+    for index in range(workspaces):
+        name = f'workspace-{index:04}'
+        for admitted in (True, False):
+            counted = AdmissionCounted(name, admitted, wrongful=True)
+            metrics.decide(counted, state, 0)
+        metrics.decide(QueueTimeCounted(name, 0.01), state, 0)
+        metrics.decide(LeaseObserved(name, 10), state, 0)
+
+    def act() -> Work:
+        shown: Any = metrics.decide(ShowMetrics('m'), state, 0)[0]
+        return Work(1, 1, len(shown.message.text))
+
+    return state, act
+
+
+def build_freshness(databases: int) -> tuple[Any, Round]:
+    """News of the settings' age for the key check."""
+    state = keys.create_state()
+    world = worlds.create_world(8, databases)
+    keys.decide(worlds.create_in_force(world), state, worlds.START_S)
+    fresh = SettingsFreshness(
+        1, confirmed=True, confirmed_at_s=worlds.START_S, evidence='store'
+    )
+
+    def act() -> Work:
+        for _ in range(1000):
+            keys.decide(fresh, state, worlds.START_S)
+        return Work(1000)
+
+    return state, act
+
+
+SERIES = (
+    Series(
+        'membership heartbeats', 'hosts', 's', FLEET_SIZES, build_membership
+    ),
+    Series(
+        'membership host list', 'hosts', 'list', FLEET_SIZES, build_host_list
+    ),
+    Series('configuration', 'hosts', 's', FLEET_SIZES, build_configuration),
+    Series('settings parse', 'databases', 'parse', DATABASE_SIZES, build_parse),
+    Series(
+        'settings change', 'databases', 'change', ALLOWED_SIZES, build_apply
+    ),
+    Series(
+        'settings commit', 'databases', 'commit', ALLOWED_SIZES, build_commit
+    ),
+    Series(
+        'settings from table',
+        'databases',
+        'read',
+        ALLOWED_SIZES,
+        build_read_document,
+    ),
+    Series(
+        'settings to a peer',
+        'databases',
+        'frame',
+        ALLOWED_SIZES,
+        build_snapshot,
+    ),
+    Series(
+        'settings in keys',
+        'databases',
+        'version',
+        DATABASE_SIZES,
+        build_adopt_keys,
+    ),
+    Series(
+        'settings in dispatch',
+        'databases',
+        'version',
+        DATABASE_SIZES,
+        build_adopt_dispatch,
+    ),
+    Series(
+        'settings in drains',
+        'databases',
+        'version',
+        DATABASE_SIZES,
+        build_adopt_drains,
+    ),
+    Series(
+        'settings in membership',
+        'databases',
+        'version',
+        DATABASE_SIZES,
+        build_adopt_membership,
+    ),
+    Series(
+        'keys freshness',
+        'databases',
+        'message',
+        DATABASE_SIZES,
+        build_freshness,
+    ),
+    Series(
+        'dispatch host change',
+        'hosts',
+        'change',
+        FLEET_SIZES,
+        build_hosts_changed,
+    ),
+    Series('dispatch tick', 'databases', 'tick', DATABASE_SIZES, build_views),
+    Series(
+        'dispatch views', 'databases', 'batch', DATABASE_SIZES, build_take_views
+    ),
+    Series('drains tick', 'databases', 'tick', DATABASE_SIZES, build_drains),
+    Series(
+        'drains work count',
+        'databases',
+        'message',
+        DATABASE_SIZES,
+        build_drain_counts,
+    ),
+    Series(
+        'failover idle', 'databases', 's', DATABASE_SIZES, build_failover_idle
+    ),
+    Series(
+        'failover acting', 'databases', 's', (1, 5, 20), build_failover_acting
+    ),
+    Series('rates ticks', 'workspaces', 's', WORKSPACE_SIZES, build_rates),
+    Series(
+        'rates lease', 'workspaces', 'renewal', WORKSPACE_SIZES, build_lease
+    ),
+    Series(
+        'metrics rendering',
+        'workspaces',
+        'rendering',
+        (64, 128, 256),
+        build_metrics,
+    ),
+)
--- /dev/null
+++ b/bench/capacity_pairs.py
@@ -0,0 +1,252 @@
+"""Paired runs: the route path against a pass-through, and tasks' own cost.
+
+Run ``python -m bench.capacity_pairs``. Both variants of a pair alternate in one
+process; a ratio is taken from each pair, and the median, lowest and highest of
+the pairs are printed.
+"""
+
+import json
+import pathlib
+import statistics
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple
+
+import anyio
+
+from bench import capacity_path as paths
+from bench import capacity_world as worlds
+from poplarspoke import connections, dispatch, keys, queues, rates
+from poplarspoke.generated.common import Tick
+from poplarspoke.generated.connections import (
+    Acquire,
+    EndExchange,
+    Release,
+    StartExchange,
+)
+from poplarspoke.generated.dispatch import PlanStatement
+from poplarspoke.generated.keys import CheckKey
+from poplarspoke.generated.queues import Enqueue, Finish
+from poplarspoke.generated.rates import AdmitRequest
+from poplarspoke.tasks import Mesh, Outgoing, Reply, Task
+
+OUT = pathlib.Path('out/capacity')
+PAIRS = 9
+STATEMENTS = 400
+TASK_SECONDS = 3
+TASK_TICKS_S = (0.05, 0.2)
+TASK_COUNTS = (63, 210, 630)
+NOW_S = paths.NOW_S
+NO_TICK_S = 3600.0
+MICRO = 1e6
+
+
+class Spread(NamedTuple):
+    """Median, lowest and highest of several figures."""
+
+    median: float
+    low: float
+    high: float
+
+
+def spread(figures: list[float]) -> Spread:
+    """Returns the spread of some figures."""
+    return Spread(statistics.median(figures), min(figures), max(figures))
+
+
+def run_pass_through() -> float:
+    """Returns the processor time of a statement that is only forwarded."""
+    statement = paths.create_statement()
+    result = paths.create_result()
+    started_s = time.process_time()
+    for _ in range(STATEMENTS):
+        paths.forward(statement, result)
+    return (time.process_time() - started_s) / STATEMENTS
+
+
+def run_decisions(path: paths.Path, key: str) -> float:
+    """Returns the same with the decisions of the path."""
+    result = paths.create_result()
+    started_s = time.process_time()
+    for _ in range(STATEMENTS):
+        paths.forward(paths.run_path(path, key), result)
+    return (time.process_time() - started_s) / STATEMENTS
+
+
+def answer_at_once(message: Any, state: Any, now_s: float) -> list[Outgoing]:
+    """Decision function that only replies."""
+    if isinstance(message, Tick):
+        return []
+    return [Reply(message.request_id, message)]
+
+
+async def run_tasks(mesh: Mesh, key: str) -> float:
+    """Returns the same with the decisions asked for as the proxy does."""
+    result = paths.create_result()
+    started_s = time.process_time()
+    for _ in range(STATEMENTS):
+        paths.forward(await _ask_path(mesh, key), result)
+    return (time.process_time() - started_s) / STATEMENTS
+
+
+async def run_one_task(mesh: Mesh) -> float:
+    """Returns the time of a pass-through that asks one task once."""
+    statement = paths.create_statement()
+    result = paths.create_result()
+    started_s = time.process_time()
+    for _ in range(STATEMENTS):
+        await mesh.tasks['pass'].ask(statement, timeout_s=1)
+        paths.forward(statement, result)
+    return (time.process_time() - started_s) / STATEMENTS
+
+
+async def _ask_path(mesh: Mesh, key: str) -> Any:
+    name = f'h000.z0-{next(paths.ids)}'
+    tasks = mesh.tasks
+    check = CheckKey(name, key, paths.WORKSPACE, 'catalogue')
+    await tasks['keys'].ask(check, timeout_s=1)
+    admit = AdmitRequest(name, paths.WORKSPACE, paths.BUDGET_S)
+    await tasks['rates'].ask(admit, timeout_s=1)
+    plan = PlanStatement(name, paths.WORKSPACE, 'catalogue')
+    planned = await tasks['dispatch'].ask(plan, timeout_s=1)
+    statement = planned.statement._replace(
+        request_id=name, text=paths.TEXT, parameters=('shop-4', 'item-17')
+    )
+    enqueue = Enqueue(name, paths.WORKSPACE, paths.BUDGET_S)
+    await tasks['queue'].ask(enqueue, timeout_s=1)
+    acquire = Acquire(name, paths.WORKSPACE, budget_s=paths.BUDGET_S)
+    lent = await tasks['pool'].ask(acquire, timeout_s=1)
+    start = StartExchange(lent.connection, name, name, paths.BUDGET_S)
+    tasks['pool'].post(start)
+    end = EndExchange(name, lent.connection, name, clean=True)
+    await tasks['pool'].ask(end, timeout_s=1)
+    tasks['pool'].post(Release(lent.connection, name))
+    tasks['queue'].post(Finish(name))
+    return statement
+
+
+def create_tasks(path: paths.Path) -> list[Task]:
+    """Returns the tasks of the path, and one that only replies."""
+    return [
+        Task('keys', keys.decide, path.keys, tick_s=NO_TICK_S),
+        Task('rates', rates.decide, path.rates, tick_s=NO_TICK_S),
+        Task('dispatch', dispatch.decide, path.dispatch, tick_s=NO_TICK_S),
+        Task('queue', queues.decide, path.queue, tick_s=NO_TICK_S),
+        Task('pool', connections.decide, path.pool, tick_s=NO_TICK_S),
+        Task('pass', answer_at_once, None, tick_s=NO_TICK_S),
+    ]
+
+
+def create_mesh(now_s: Callable[[], float]) -> Mesh:
+    """Returns a mesh without ways out."""
+    return Mesh(send_to_host=_drop, send_to_store=_drop, now_s=now_s)
+
+
+def _drop(name: str, message: Any) -> None:
+    """Drops what leaves the daemon."""
+
+
+async def compare() -> dict[str, Any]:
+    """Returns times, ratios and cores of the paired variants."""
+    path = paths.create_path()
+    key = worlds.issue_key(0, 0).key
+    mesh = create_mesh(lambda: NOW_S)
+    columns: dict[str, list[float]] = {}
+    async with anyio.create_task_group() as group:
+        for task in create_tasks(path):
+            group.start_soon(_run_task, mesh, task, group)
+        await anyio.sleep(0.05)
+        for _ in range(PAIRS + 1):
+            row = {
+                'pass-through': run_pass_through(),
+                'decisions': run_decisions(path, key),
+                'one task': await run_one_task(mesh),
+                'tasks': await run_tasks(mesh, key),
+            }
+            for name, time_s in row.items():
+                columns.setdefault(name, []).append(time_s)
+        group.cancel_scope.cancel()
+    return report({name: times[1:] for name, times in columns.items()})
+
+
+async def _run_task(mesh: Mesh, task: Task, group: Any) -> None:
+    with task:
+        mesh.start(task, group)
+        await anyio.sleep_forever()
+
+
+def report(columns: dict[str, list[float]]) -> dict[str, Any]:
+    """Prints the variants; returns their figures."""
+    base = columns['pass-through']
+    found: dict[str, Any] = {}
+    for name, times in columns.items():
+        cost = spread([entry * MICRO for entry in times])
+        rate = spread([1 / entry for entry in times])
+        ratio = spread(
+            [entry / other for entry, other in zip(times, base, strict=True)]
+        )
+        cores = spread([worlds.STATEMENTS_PER_S * entry for entry in times])
+        found[name] = {
+            'us': cost,
+            'statements_per_core_s': rate,
+            'ratio': ratio,
+            'cores': cores,
+        }
+        print(
+            f'{name}: {cost.median:.0f} us [{cost.low:.0f}, {cost.high:.0f}], '
+            f'{rate.median:.0f} statements a core-second '
+            f'[{rate.low:.0f}, {rate.high:.0f}], {ratio.median:.2f} times the '
+            f'pass-through [{ratio.low:.2f}, {ratio.high:.2f}], '
+            f'{cores.median:.0f} cores [{cores.low:.0f}, {cores.high:.0f}] '
+            f'for {worlds.STATEMENTS_PER_S} statements a second',
+        )
+    return found
+
+
+async def measure_ticks(count: int, tick_s: float) -> float:
+    """Returns processor seconds a second of tasks that only tick."""
+    mesh = create_mesh(time.monotonic)
+    async with anyio.create_task_group() as group:
+        for number in range(count):
+            task = Task(str(number), answer_at_once, None, tick_s=tick_s)
+            group.start_soon(_run_task, mesh, task, group)
+        await anyio.sleep(0.5)
+        started_s = time.process_time()
+        began_s = time.monotonic()
+        await anyio.sleep(TASK_SECONDS)
+        used_s = time.process_time() - started_s
+        lasted_s = time.monotonic() - began_s
+        group.cancel_scope.cancel()
+    return used_s / lasted_s
+
+
+async def count_ticks() -> dict[str, Any]:
+    """Returns the cost of tasks that only tick, 5 times each."""
+    found: dict[str, Any] = {}
+    for tick_s in TASK_TICKS_S:
+        for count in TASK_COUNTS:
+            runs = [await measure_ticks(count, tick_s) for _ in range(5)]
+            share = spread(runs)
+            found[f'{count} tasks, {tick_s} s'] = share
+            print(
+                f'{count} tasks that tick each {tick_s} s: '
+                f'{share.median:.2%} of a core '
+                f'[{share.low:.2%}, {share.high:.2%}]',
+                flush=True,
+            )
+    return found
+
+
+def _run(variant: Callable[[], Awaitable[Any]]) -> Any:
+    return anyio.run(variant)
+
+
+def main() -> None:
+    """Prints all pairs and writes them under ``out/capacity/``."""
+    OUT.mkdir(parents=True, exist_ok=True)
+    found = {'path': _run(compare), 'ticks': _run(count_ticks)}
+    (OUT / 'pairs.json').write_text(json.dumps(found, indent=1))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/bench/capacity_path.py
@@ -0,0 +1,528 @@
+"""Drivers of the request path: what one statement costs in each module.
+
+One unit is a statement, if the series says nothing else. Ids are unique, as
+the callers' ones are.
+"""
+
+import itertools
+from typing import Any, NamedTuple
+
+from bench import capacity_world as worlds
+from bench.capacity_measure import Round, Series, Work, receive
+from poplarspoke import (
+    acknowledgements,
+    codec,
+    connections,
+    dispatch,
+    keys,
+    queues,
+    rates,
+    shares,
+    tokens,
+    traces,
+    transactions,
+)
+from poplarspoke.generated.acknowledgements import AwaitMajority
+from poplarspoke.generated.common import DatabasePosition, Position, Tick
+from poplarspoke.generated.connections import (
+    Acquire,
+    ConnectionOpened,
+    EndExchange,
+    Release,
+    StartExchange,
+)
+from poplarspoke.generated.dispatch import PlanStatement
+from poplarspoke.generated.failover import EndpointAnswered
+from poplarspoke.generated.keys import CheckKey
+from poplarspoke.generated.members import Confirmed
+from poplarspoke.generated.membership import EndpointViews
+from poplarspoke.generated.operators import RequestStep, RequestTrace
+from poplarspoke.generated.peers import PeerFrame
+from poplarspoke.generated.queues import Enqueue, Finish
+from poplarspoke.generated.rates import (
+    AdmitRequest,
+    LivePeers,
+    RateSettings,
+    WorkspaceRate,
+)
+from poplarspoke.generated.requests import (
+    Statement,
+    StatementResult,
+    TransactionStep,
+)
+from poplarspoke.generated.sessions import Session
+from poplarspoke.generated.transactions import (
+    BeginTransaction,
+    StatementEnded,
+    UseTransaction,
+)
+
+BATCH = 200
+NOW_S = worlds.START_S
+STEP_S = 0.001
+HUGE_RATE = 1e9
+BUDGET_S = 2.0
+ENDPOINT = 'database-000-m1'
+WORKSPACE = 'workspace-0000'
+SECRETS = ('first secret of 32 bytes for tokens',)
+DATABASE_SIZES = (63, 210, 630)
+TEXT = 'SELECT price, stock FROM catalogue WHERE shop = $1 AND item = $2'
+ROWS = '[["4.50", "17"], ["5.20", "3"], ["6.00", "0"]]'
+ids = itertools.count(1)
+
+
+class Path(NamedTuple):
+    """The states that a statement passes on its entry host and its owner."""
+
+    keys: keys.KeysState
+    rates: shares.Rates
+    dispatch: dispatch.DispatchState
+    queue: queues.QueueState
+    pool: connections.PoolState
+
+
+def create_keys(databases: int) -> keys.KeysState:
+    """Returns a key check with fresh settings."""
+    state = keys.create_state()
+    keys.decide(
+        worlds.create_in_force(worlds.create_world(8, databases)), state, NOW_S
+    )
+    state['freshness'] = state['freshness']._replace(
+        version=1, confirmed=True, confirmed_at_s=NOW_S
+    )
+    return state
+
+
+def create_rates(workspaces: int) -> shares.Rates:
+    """Returns rates that admit everything on one host."""
+    world = worlds.create_world(1, 1, workspaces)
+    state = shares.create_state('h000.z0', incarnation=1, seed=1, now_s=0)
+    entries = tuple(
+        WorkspaceRate(name, HUGE_RATE, HUGE_RATE) for name in world.workspaces
+    )
+    settings = RateSettings(1, ('h000.z0',), entries, 60)
+    rates.decide(settings, state, 0)
+    rates.decide(LivePeers(('h000.z0',)), state, 0)
+    rates.decide(Tick(), state, NOW_S)
+    return state
+
+
+def create_dispatch(hosts: int, databases: int) -> dispatch.DispatchState:
+    """Returns a dispatcher that knows every endpoint and all live hosts."""
+    world = worlds.create_world(hosts, databases)
+    name = next(iter(world.hosts))
+    state = dispatch.create_state(name, 'zone-0', seed=1)
+    state['hosts'] = tuple(sorted(world.hosts))
+    dispatch.decide(worlds.create_in_force(world), state, NOW_S)
+    views = EndpointViews(worlds.list_views(world.databases))
+    dispatch.decide(views, state, NOW_S)
+    return state
+
+
+def create_pool(size: int) -> connections.PoolState:
+    """Returns a pool whose connections are open and idle."""
+    state = connections.create_state(
+        ENDPOINT,
+        limit=size + connections.RESERVED_CONNECTIONS,
+        socket_task='sockets',
+        holder_task='transactions',
+    )
+    connections.decide(Tick(), state, NOW_S)
+    names = [f'warm {index}' for index in range(size)]
+    for name in names:
+        connections.decide(Acquire(name, 'w', budget_s=BUDGET_S), state, NOW_S)
+    lent = {}
+    for number in range(1, size + 1):
+        for reply in connections.decide(ConnectionOpened(number), state, NOW_S):
+            lent[getattr(reply, 'request_id', '')] = number
+    for name, number in lent.items():
+        run_exchange(state, name, number)
+    return state
+
+
+def run_exchange(
+    state: connections.PoolState,
+    holder: str,
+    number: int,
+) -> None:
+    """Sends, ends and releases on a connection that was lent."""
+    start = StartExchange(number, holder, holder, BUDGET_S)
+    connections.decide(start, state, NOW_S)
+    end = EndExchange(holder, number, holder, clean=True)
+    connections.decide(end, state, NOW_S)
+    connections.decide(Release(number, holder), state, NOW_S)
+
+
+def use_pool(state: connections.PoolState) -> None:
+    """Runs one statement on a connection of a pool."""
+    holder = f'h000.z0.{next(ids)}'
+    acquire = Acquire(holder, WORKSPACE, budget_s=BUDGET_S)
+    reply: Any = connections.decide(acquire, state, NOW_S)[0]
+    run_exchange(state, holder, reply.message.connection)
+
+
+def create_path() -> Path:
+    """Returns the states at the target's sizes."""
+    return Path(
+        create_keys(worlds.DATABASES),
+        create_rates(round(worlds.DATABASES * worlds.WORKSPACES_PER_DATABASE)),
+        create_dispatch(worlds.HOSTS, worlds.DATABASES),
+        queues.create_state(ENDPOINT),
+        create_pool(6),
+    )
+
+
+def run_path(path: Path, key: str) -> Statement:
+    """Passes one read through the decisions of the path."""
+    name = f'h000.z0-{next(ids)}'
+    check = CheckKey(name, key, WORKSPACE, 'catalogue')
+    keys.decide(check, path.keys, NOW_S)
+    rates.decide(AdmitRequest(name, WORKSPACE, BUDGET_S), path.rates, NOW_S)
+    planned: Any = dispatch.decide(
+        PlanStatement(name, WORKSPACE, 'catalogue'), path.dispatch, NOW_S
+    )[0]
+    statement: Statement = planned.message.statement._replace(
+        request_id=name, text=TEXT, parameters=('shop-4', 'item-17')
+    )
+    queues.decide(Enqueue(name, WORKSPACE, BUDGET_S), path.queue, NOW_S)
+    use_pool(path.pool)
+    queues.decide(Finish(name), path.queue, NOW_S + STEP_S)
+    return statement
+
+
+def create_statement() -> Statement:
+    """Returns a read as an entry host forwards it."""
+    return Statement(
+        request_id='h000.z0-100000',
+        workspace=WORKSPACE,
+        route='catalogue',
+        database='database-000',
+        text=TEXT,
+        parameters=('shop-4', 'item-17'),
+        minimum=Position(worlds.TERM, 99999),
+        max_age_s=5,
+        budget_s=BUDGET_S,
+        endpoint=ENDPOINT,
+        term=worlds.TERM,
+    )
+
+
+def create_result() -> StatementResult:
+    """Returns the result of that read."""
+    return StatementResult(
+        request_id='h000.z0-100000',
+        endpoint=ENDPOINT,
+        position=Position(worlds.TERM, 100000),
+        age_s=0.1,
+        rows=ROWS,
+        replica=True,
+        database='database-000',
+    )
+
+
+def forward(statement: Statement, result: StatementResult) -> int:
+    """Encodes and decodes a statement and its result; returns their bytes."""
+    sent = codec.encode(PeerFrame(1, statement))
+    receive(sent)
+    answered = codec.encode(PeerFrame(1, result))
+    receive(answered)
+    return len(sent) + len(answered) + 8
+
+
+def build_forward(parameters: int) -> tuple[Any, Round]:
+    """A statement and its result between two daemons."""
+    statement = create_statement()._replace(parameters=('x' * 10,) * parameters)
+    result = create_result()
+
+    def act() -> Work:
+        size = sum(forward(statement, result) for _ in range(BATCH))
+        return Work(BATCH, 2 * BATCH, size)
+
+    return statement, act
+
+
+def build_keys(databases: int) -> tuple[Any, Round]:
+    """One check of a key."""
+    state = create_keys(databases)
+    key = worlds.issue_key(0, 0).key
+
+    def act() -> Work:
+        for _ in range(BATCH):
+            check = CheckKey(str(next(ids)), key, WORKSPACE, 'catalogue')
+            keys.decide(check, state, NOW_S)
+        return Work(BATCH)
+
+    return state, act
+
+
+def build_rates(workspaces: int) -> tuple[Any, Round]:
+    """One admission from the host's own bucket."""
+    state = create_rates(workspaces)
+
+    def act() -> Work:
+        for _ in range(BATCH):
+            request = AdmitRequest(str(next(ids)), WORKSPACE, BUDGET_S)
+            rates.decide(request, state, NOW_S)
+        return Work(BATCH)
+
+    return state, act
+
+
+def build_plan(databases: int) -> tuple[Any, Round]:
+    """One plan, 410 live hosts."""
+    return _build_plan(worlds.HOSTS, databases)
+
+
+def build_plan_hosts(hosts: int) -> tuple[Any, Round]:
+    """One plan, 630 databases."""
+    return _build_plan(hosts, worlds.DATABASES)
+
+
+def _build_plan(hosts: int, databases: int) -> tuple[Any, Round]:
+    state = create_dispatch(hosts, databases)
+
+    def act() -> Work:
+        for number in range(BATCH):
+            name = f'workspace-{number % databases:04}'
+            plan = PlanStatement(str(next(ids)), name, 'catalogue')
+            dispatch.decide(plan, state, NOW_S)
+        return Work(BATCH)
+
+    return state, act
+
+
+def build_acknowledgements(pending: int) -> tuple[Any, Round]:
+    """One write with its confirmations while others are pending."""
+    members = worlds.list_endpoints('database-000')
+    state = acknowledgements.create_state('database-000', members)
+    clock = [NOW_S]
+
+    def act() -> Work:
+        for _ in range(BATCH // pending):
+            _confirm_batch(state, clock, members[0], pending)
+        return Work(BATCH // pending * pending)
+
+    return state, act
+
+
+def _confirm_batch(
+    state: acknowledgements.AcknowledgementState,
+    clock: list[float],
+    primary: str,
+    pending: int,
+) -> None:
+    calls: list[Any] = []
+    for _ in range(pending):
+        number = next(ids)
+        waiting = AwaitMajority(
+            str(number), primary, Position(worlds.TERM, number), BUDGET_S
+        )
+        calls.extend(acknowledgements.decide(waiting, state, clock[0]))
+    while calls:
+        call = calls.pop(0)
+        if not getattr(call, 'endpoint', ''):
+            continue
+        answer = EndpointAnswered(
+            call.message.call_id,
+            call.endpoint,
+            body=Confirmed(confirmed=True, adopted_term=worlds.TERM),
+        )
+        calls.extend(acknowledgements.decide(answer, state, clock[0]))
+
+
+def build_queue(workspaces: int) -> tuple[Any, Round]:
+    """One statement through a queue in which each workspace waits."""
+    state = queues.create_state(ENDPOINT)
+    clock = [NOW_S]
+    waiting: list[str] = []
+    for index in range(workspaces):
+        _enqueue(state, f'workspace-{index:04}', clock, waiting)
+
+    def act() -> Work:
+        for index in range(BATCH):
+            clock[0] += STEP_S
+            name = f'workspace-{index % workspaces:04}'
+            _enqueue(state, name, clock, waiting)
+            running = next(iter(state['running']))
+            queues.decide(Finish(running), state, clock[0])
+        return Work(BATCH)
+
+    return state, act
+
+
+def _enqueue(
+    state: queues.QueueState,
+    workspace: str,
+    clock: list[float],
+    waiting: list[str],
+) -> None:
+    name = str(next(ids))
+    waiting.append(name)
+    queues.decide(Enqueue(name, workspace, 1e6), state, clock[0])
+
+
+def build_pool(size: int) -> tuple[Any, Round]:
+    """One statement on a pool with this many connections."""
+    state = create_pool(size)
+
+    def act() -> Work:
+        for _ in range(BATCH):
+            use_pool(state)
+        return Work(BATCH)
+
+    return state, act
+
+
+def build_pool_ticks(size: int) -> tuple[Any, Round]:
+    """One tick of a pool with this many connections."""
+    state = create_pool(size)
+
+    def act() -> Work:
+        for _ in range(BATCH):
+            connections.decide(Tick(), state, NOW_S)
+        return Work(BATCH)
+
+    return state, act
+
+
+def build_transactions(opened: int) -> tuple[Any, Round]:
+    """One statement of a transaction while others are open."""
+    state = transactions.create_state('h000.z0', 1, log_task='traces')
+    names = []
+    for number in range(opened):
+        begin = BeginTransaction(
+            str(number), WORKSPACE, 'database-000', ENDPOINT, number, 'h', 3
+        )
+        begun: Any = transactions.decide(begin, state, NOW_S)[0]
+        names.append(begun.message.transaction)
+
+    def act() -> Work:
+        for number in range(BATCH):
+            name = names[number % opened]
+            use = UseTransaction(
+                str(number), name, WORKSPACE, TransactionStep.INSIDE
+            )
+            transactions.decide(use, state, NOW_S)
+            ended = StatementEnded(str(number), name, answered=True, open=True)
+            transactions.decide(ended, state, NOW_S)
+        return Work(BATCH)
+
+    return state, act
+
+
+def build_transaction_ticks(opened: int) -> tuple[Any, Round]:
+    """One tick with open transactions."""
+    state = build_transactions(opened)[0]
+
+    def act() -> Work:
+        for _ in range(BATCH):
+            transactions.decide(Tick(), state, NOW_S)
+        return Work(BATCH)
+
+    return state, act
+
+
+def build_traces(kept: int) -> tuple[Any, Round]:
+    """One trace; the state holds this many."""
+    state = traces.create_state()
+    steps = [
+        (0.001, 'admitted', WORKSPACE, ''),
+        (0.002, 'planned', ENDPOINT, 'own_zone_replica'),
+        (0.003, 'sent', 'h123.z4', ENDPOINT),
+    ]
+    for _ in range(kept):
+        traces.decide(_create_trace(steps), state, NOW_S)
+
+    def act() -> Work:
+        for _ in range(BATCH):
+            traces.decide(_create_trace(steps), state, NOW_S)
+        return Work(BATCH)
+
+    return state, act
+
+
+def _create_trace(steps: list[tuple[float, str, str, str]]) -> RequestTrace:
+    return RequestTrace(
+        request_id=f'{next(ids):032x}',
+        host='h000.z0',
+        workspace=WORKSPACE,
+        route='catalogue',
+        settings_version=7,
+        steps=tuple(RequestStep(*step) for step in steps),
+    )
+
+
+def build_tokens(positions: int) -> tuple[Any, Round]:
+    """One token verified and one signed."""
+    session = Session(
+        tuple(
+            DatabasePosition(
+                f'database-{index:03}', Position(3, 100000 + index)
+            )
+            for index in range(positions)
+        ),
+    )
+    token = tokens.sign(session, WORKSPACE, SECRETS)
+
+    def act() -> Work:
+        for _ in range(BATCH):
+            verified = tokens.verify(token, WORKSPACE, SECRETS)
+            tokens.sign(verified, WORKSPACE, SECRETS)
+        return Work(BATCH, 0, len(token) * BATCH)
+
+    return token, act
+
+
+SERIES = (
+    Series('path keys', 'databases', 'statement', DATABASE_SIZES, build_keys),
+    Series(
+        'path rates', 'workspaces', 'statement', (168, 560, 1680), build_rates
+    ),
+    Series(
+        'path dispatch', 'databases', 'statement', DATABASE_SIZES, build_plan
+    ),
+    Series(
+        'path dispatch hosts',
+        'hosts',
+        'statement',
+        worlds.CURVE_HOSTS,
+        build_plan_hosts,
+    ),
+    Series(
+        'path queue', 'workspaces waiting', 'statement', (1, 4, 16), build_queue
+    ),
+    Series(
+        'path connections', 'connections', 'statement', (3, 6, 48), build_pool
+    ),
+    Series(
+        'path connections tick',
+        'connections',
+        'tick',
+        (3, 6, 48),
+        build_pool_ticks,
+    ),
+    Series(
+        'path acknowledgements',
+        'pending',
+        'write',
+        (1, 8, 64),
+        build_acknowledgements,
+    ),
+    Series(
+        'path transactions',
+        'open',
+        'statement',
+        (2, 20, 200),
+        build_transactions,
+    ),
+    Series(
+        'path transactions tick',
+        'open',
+        'tick',
+        (2, 20, 200),
+        build_transaction_ticks,
+    ),
+    Series('path traces', 'kept', 'trace', (250, 500, 1000), build_traces),
+    Series('path tokens', 'positions', 'statement', (1, 4, 16), build_tokens),
+    Series('path forward', 'parameters', 'statement', (1, 2, 8), build_forward),
+)
--- /dev/null
+++ b/bench/capacity_target.py
@@ -0,0 +1,62 @@
+"""States of one daemon at the target's sizes."""
+
+import functools
+import json
+from typing import Any
+
+from bench import capacity_control as control
+from bench import capacity_path as paths
+from bench import capacity_world as worlds
+from poplarspoke import configuration
+
+WORKSPACES = round(worlds.DATABASES * worlds.WORKSPACES_PER_DATABASE)
+# 1890 endpoints over 410 hosts, rounded up.
+OWNED_ENDPOINTS = 5
+
+
+def create_configuration() -> Any:
+    """Returns the settings: text and parsed document."""
+    world = worlds.create_world(worlds.HOSTS, worlds.DATABASES)
+    state = configuration.create_state(
+        host='h000.z0', zone='zone-0', subscribers=(), now_s=worlds.START_S
+    )
+    state['snapshot'] = worlds.create_snapshot(world)
+    state['document'] = json.loads(state['snapshot'].document)
+    return state
+
+
+def create_units() -> Any:
+    """Returns the pools of the endpoints that a host owns."""
+    return [paths.create_pool(6) for _ in range(OWNED_ENDPOINTS)]
+
+
+STATES = (
+    ('configuration', create_configuration),
+    ('keys', functools.partial(paths.create_keys, worlds.DATABASES)),
+    (
+        'dispatch',
+        functools.partial(
+            paths.create_dispatch, worlds.HOSTS, worlds.DATABASES
+        ),
+    ),
+    (
+        'drains',
+        lambda: control.build_drains(worlds.DATABASES)[0],
+    ),
+    (
+        'membership',
+        lambda: control.build_membership(worlds.HOSTS)[0],
+    ),
+    ('rates', functools.partial(paths.create_rates, WORKSPACES)),
+    (
+        'lease row',
+        lambda: control.build_lease(WORKSPACES)[0],
+    ),
+    (
+        'failover',
+        lambda: control.build_failover_idle(worlds.DATABASES)[0],
+    ),
+    ('pools', create_units),
+    ('traces', lambda: paths.build_traces(1000)[0]),
+    ('metrics', lambda: control.build_metrics(256)[0]),
+)
--- /dev/null
+++ b/bench/capacity_world.py
@@ -0,0 +1,215 @@
+"""Sizes, names and settings of the target, for the capacity benches.
+
+The design page names no number of workspaces for the target. The sites of
+today have 8 workspaces before 3 databases, so 630 databases stand for 1680.
+"""
+
+import functools
+import json
+from typing import Any, NamedTuple
+
+from poplarspoke import keys, membership
+from poplarspoke.generated.common import Position
+from poplarspoke.generated.configuration import (
+    SettingsInForce,
+    SettingsSnapshot,
+)
+from poplarspoke.generated.membership import EndpointView
+from poplarspoke.generated.platform import HostEntry
+
+HOSTS = 410
+DATABASES = 630
+MEMBERS = 3
+STATEMENTS_PER_S = 820000
+CALLER_CONNECTIONS = 1200000
+CURVE_HOSTS = (8, 24, 50, 100, 200, 410)
+SMALL_ZONES = 3
+LARGE_ZONES = 8
+SMALL_FLEET = 24
+WORKSPACES_PER_DATABASE = 8 / 3
+SECRET = 's' * 30
+ADDRESS = '10.200.100.1:7400'
+START_S = 1000.0
+TERM = 3
+
+
+class World(NamedTuple):
+    """A fleet of some size.
+
+    Attributes:
+        hosts: Zone by host.
+        databases: Names of the databases.
+        workspaces: Names of the workspaces.
+    """
+
+    hosts: dict[str, str]
+    databases: tuple[str, ...]
+    workspaces: tuple[str, ...]
+
+
+def create_world(hosts: int, databases: int, workspaces: int = 0) -> World:
+    """Returns a fleet; 3 zones up to 24 hosts, 8 zones above."""
+    zones = SMALL_ZONES if hosts <= SMALL_FLEET else LARGE_ZONES
+    count = workspaces or round(databases * WORKSPACES_PER_DATABASE)
+    return World(
+        {
+            f'h{index:03}.z{index % zones}': f'zone-{index % zones}'
+            for index in range(hosts)
+        },
+        tuple(f'database-{index:03}' for index in range(databases)),
+        tuple(f'workspace-{index:04}' for index in range(count)),
+    )
+
+
+def list_endpoints(database: str) -> tuple[str, ...]:
+    """Returns the names of the members of a database."""
+    return tuple(f'{database}-m{index}' for index in range(MEMBERS))
+
+
+def create_document(world: World) -> dict[str, Any]:
+    """Returns settings with 2 keys and 3 routes for each workspace."""
+    zones = sorted(set(world.hosts.values()))
+    databases = {}
+    for place, name in enumerate(world.databases):
+        databases[name] = {
+            'slots': 2,
+            'connections': 8,
+            'endpoints': {
+                endpoint: {
+                    'zone': zones[(place + index) % len(zones)],
+                    'address': ADDRESS,
+                    'in_service': True,
+                }
+                for index, endpoint in enumerate(list_endpoints(name))
+            },
+        }
+    teams: dict[str, Any] = {}
+    for number, workspace in enumerate(world.workspaces):
+        team = teams.setdefault(f'team-{number % 16}', {'workspaces': {}})
+        team['workspaces'][workspace] = create_workspace(world, number)
+    return {
+        'teams': teams,
+        'zones': {zone: {'in_service': True} for zone in zones},
+        'databases': databases,
+        'hosts': {
+            name: {'zone': zone, 'address': ADDRESS}
+            for name, zone in world.hosts.items()
+        },
+    }
+
+
+def create_workspace(world: World, number: int) -> dict[str, Any]:
+    """Returns the settings of one workspace."""
+    database = world.databases[number % len(world.databases)]
+    return {
+        'rate': 500,
+        'burst': 1000,
+        'keys': {
+            f'k{number}n{index}': {
+                'digest': issue_key(number, index).record.digest,
+                'revoked': False,
+            }
+            for index in range(2)
+        },
+        'routes': {
+            'release': _create_route(database, 'recorded', write=True),
+            'catalogue': _create_route(database, 'safe'),
+            'stock': _create_route(database, 'safe'),
+        },
+    }
+
+
+def _create_route(
+    database: str,
+    repeat: str,
+    *,
+    write: bool = False,
+) -> dict[str, Any]:
+    return {
+        'database': database,
+        'write': write,
+        'repeat': repeat,
+        'max_age_s': 5,
+    }
+
+
+def issue_key(number: int, index: int) -> keys.IssuedKey:
+    """Returns a key of a workspace."""
+    return keys.create_key(
+        f'k{number}n{index}', f'workspace-{number:04}', SECRET
+    )
+
+
+def create_snapshot(world: World, version: int = 1) -> SettingsSnapshot:
+    """Returns the settings of a world as a version."""
+    return SettingsSnapshot(
+        sender=next(iter(world.hosts)),
+        version=version,
+        document=json.dumps(create_document(world), sort_keys=True),
+        accepted_at_s=START_S,
+        who='operator',
+        why='bench',
+        path='teams',
+        change_id=f'change-{version}',
+    )
+
+
+def create_in_force(world: World, version: int = 1) -> SettingsInForce:
+    """Returns the message that puts the settings of a world in force."""
+    return SettingsInForce(create_snapshot(world, version))
+
+
+def create_view(endpoint: str, database: str) -> EndpointView:
+    """Returns a fresh view; the first member of a database is its primary."""
+    return EndpointView(
+        endpoint=endpoint,
+        database=database,
+        last=Position(TERM, 100000),
+        age_s=0.1,
+        observed_ago_s=0.1,
+        primary=endpoint.endswith('m0'),
+        reachable=True,
+    )
+
+
+def list_views(databases: tuple[str, ...]) -> tuple[EndpointView, ...]:
+    """Returns a view of every endpoint of some databases."""
+    return tuple(
+        create_view(endpoint, database)
+        for database in databases
+        for endpoint in list_endpoints(database)
+    )
+
+
+def list_entries(world: World) -> list[HostEntry]:
+    """Returns the hosts as the platform lists them."""
+    return [
+        HostEntry(name, zone, ADDRESS) for name, zone in world.hosts.items()
+    ]
+
+
+def create_membership(world: World, host: str) -> membership.MembershipState:
+    """Returns the membership of a host that knows all others."""
+    return membership.create_state(
+        host=host,
+        zone=world.hosts[host],
+        incarnation=1,
+        seeds=list_entries(world),
+        subscribers=('dispatch', 'rates', 'operators'),
+        now_s=START_S,
+    )
+
+
+def count_peers(world: World) -> dict[str, int]:
+    """Returns how many peers each host sends heartbeats to."""
+    return {
+        host: len(membership.choose_peers(create_membership(world, host)))
+        for host in world.hosts
+    }
+
+
+@functools.cache
+def find_busiest(hosts: int) -> str:
+    """Returns the host with the most peers in a fleet of some size."""
+    counts = count_peers(create_world(hosts, 1))
+    return max(counts, key=counts.__getitem__)
