--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -22,21 +22,21 @@
     print(f'{series.name}: figures for each {series.unit}')
     for sample in samples:
         print(_format(series, sample))
-    sizes = [float(sample.size) for sample in samples]
+    sizes = [float(one.size) for one in samples]
     slopes = {}
     for column in COLUMNS:
-        figures = [float(getattr(sample, column)) for sample in samples]
-        slopes[column] = fit(sizes, figures)._asdict()
-        line = slopes[column]
+        figures = [float(getattr(one, column)) for one in samples]
+        line = fit(sizes, figures)
+        slopes[column] = line._asdict()
         print(
-            f'  {column}: {line["base"]:.1f} + {line["slope"]:.4f} for each of '
-            f'{series.driver}, worst miss {line["worst_miss"]:.0%}',
+            f'  {column}: {line.base:.1f} + {line.slope:.4f} for each of '
+            f'{series.driver}, worst miss {line.worst_miss:.0%}',
         )
     report = {
         'series': series.name,
         'driver': series.driver,
         'unit': series.unit,
-        'samples': [sample._asdict() for sample in samples],
+        'samples': [one._asdict() for one in samples],
         'slopes': slopes,
     }
     name = series.name.replace(' ', '-')
--- a/bench/capacity_control.py
+++ b/bench/capacity_control.py
@@ -3,6 +3,7 @@
 One unit is a second of virtual time, or one event where the series says so.
 """
 
+import functools
 import json
 from typing import Any
 
@@ -47,6 +48,7 @@
     QueueTimeCounted,
     ShowMetrics,
 )
+from poplarspoke.generated.peers import PeerFrame
 from poplarspoke.generated.platform import (
     CommitResult,
     HostList,
@@ -61,7 +63,6 @@
     WorkspaceRate,
     WorkspaceUnits,
 )
-from poplarspoke.peers import PeerFrame
 from poplarspoke.tasks import ToStore
 
 # The daemon sets the ticks; tests/fleet.py and bench/rate_fleet.py use these.
@@ -88,8 +89,8 @@
         self.peers = membership.choose_peers(self.state)
         self.sequence = 1
         self.names = sorted(self.world.hosts)
-        self.views = EndpointViews(self._list_own(host))
-        membership.decide(self.views, self.state, self.now_s)
+        own_views = EndpointViews(self._list_own(host))
+        membership.decide(own_views, self.state, self.now_s)
         for _ in range(2 + len(self.names) // membership.MAX_VIEWS):
             self.run_second()
 
@@ -148,23 +149,31 @@
         return total
 
 
+def _run_membership(heart: Any, prepared: Any) -> Work:
+    total = Work(ROUNDS_OF_MEMBERSHIP)
+    for _ in range(ROUNDS_OF_MEMBERSHIP):
+        work = heart.act(*prepared.pop(0))
+        total = Work(
+            ROUNDS_OF_MEMBERSHIP,
+            total.messages + work.messages,
+            total.size + work.size,
+        )
+    return total
+
+
 def build_membership(hosts: int) -> tuple[Any, Round]:
     """Heartbeats of a second, in and out, with their frames."""
     heart = Heart(hosts)
     prepared = [(heart.frames(), heart.frames()) for _ in range(40)]
 
-    def act() -> Work:
-        total = Work(ROUNDS_OF_MEMBERSHIP)
-        for _ in range(ROUNDS_OF_MEMBERSHIP):
-            work = heart.act(*prepared.pop(0))
-            total = Work(
-                ROUNDS_OF_MEMBERSHIP,
-                total.messages + work.messages,
-                total.size + work.size,
-            )
-        return total
+    return heart.state, functools.partial(_run_membership, heart, prepared)
+
 
-    return heart.state, act
+def _run_host_list(body: Any, heart: Any) -> Work:
+    for _ in range(5):
+        message = codec.parse(HostList, json.loads(body))
+        membership.decide(message, heart.state, heart.now_s)
+    return Work(5, 5, 5 * len(body))
 
 
 def build_host_list(hosts: int) -> tuple[Any, Round]:
@@ -173,13 +182,13 @@
     listed = HostList(tuple(worlds.list_entries(heart.world)), 1)
     body = json.dumps(codec.to_object(listed))
 
-    def act() -> Work:
-        for _ in range(5):
-            message = codec.parse(HostList, json.loads(body))
-            membership.decide(message, heart.state, heart.now_s)
-        return Work(5, 5, 5 * len(body))
+    return heart.state, functools.partial(_run_host_list, body, heart)
 
-    return heart.state, act
+
+def _run_configuration(clock: Any, head: Any, names: Any, state: Any) -> Work:
+    for _ in range(10):
+        _run_configuration_second(state, clock, names, head)
+    return Work(10)
 
 
 def build_configuration(hosts: int) -> tuple[Any, Round]:
@@ -198,12 +207,9 @@
     head = Row(records.HEAD_KEY, 1, _create_head())
     clock = [worlds.START_S]
 
-    def act() -> Work:
-        for _ in range(10):
-            _run_configuration(state, clock, names, head)
-        return Work(10)
-
-    return state, act
+    return state, functools.partial(
+        _run_configuration, clock, head, names, state
+    )
 
 
 def _create_head() -> str:
@@ -212,7 +218,7 @@
     return json.dumps(codec.to_object(record))
 
 
-def _run_configuration(
+def _run_configuration_second(
     state: Any,
     clock: list[float],
     names: list[str],
@@ -237,17 +243,18 @@
             configuration.decide(stated, state, clock[0])
 
 
+def _run_parse(kept: Any, text: Any) -> Work:
+    kept[0] = json.loads(text)
+    return Work(1)
+
+
 def build_parse(databases: int) -> tuple[Any, Round]:
     """Parses a settings document."""
     world = _scale_world(databases)
     text = worlds.create_snapshot(world).document
     kept = [json.loads(text)]
 
-    def act() -> Work:
-        kept[0] = json.loads(text)
-        return Work(1)
-
-    return kept, act
+    return kept, functools.partial(_run_parse, kept, text)
 
 
 def _scale_world(databases: int) -> worlds.World:
@@ -255,6 +262,11 @@
     return worlds.create_world(hosts, databases)
 
 
+def _run_apply(change: Any, document: Any) -> Work:
+    changes.apply_change(document, change)
+    return Work(1)
+
+
 def build_apply(databases: int) -> tuple[Any, Round]:
     """Validates and applies a change of one workspace's rate."""
     world = _scale_world(databases)
@@ -268,11 +280,13 @@
         'bench',
     )
 
-    def act() -> Work:
-        changes.apply_change(document, change)
-        return Work(1)
+    return document, functools.partial(_run_apply, change, document)
 
-    return document, act
+
+def _run_commit(record: Any, snapshot: Any) -> Work:
+    commit = records.create_commit(record, snapshot.document)
+    body = json.dumps(codec.to_object(commit))
+    return Work(1, 1, len(body))
 
 
 def build_commit(databases: int) -> tuple[Any, Round]:
@@ -289,12 +303,13 @@
     )
     record = records.create_record(change, version=2, accepted_at_s=1)
 
-    def act() -> Work:
-        commit = records.create_commit(record, snapshot.document)
-        body = json.dumps(codec.to_object(commit))
-        return Work(1, 1, len(body))
+    return snapshot, functools.partial(_run_commit, record, snapshot)
+
 
-    return snapshot, act
+def _run_read_document(body: Any) -> Work:
+    read = codec.parse(RowsRead, json.loads(body))
+    records.read_snapshot(read.rows[0], read.rows[1])
+    return Work(1, 1, len(body))
 
 
 def build_read_document(databases: int) -> tuple[Any, Round]:
@@ -314,24 +329,20 @@
     rows = tuple(Row(write.key, 1, write.content) for write in commit.writes)
     body = json.dumps(codec.to_object(RowsRead(rows[:2], 1)))
 
-    def act() -> Work:
-        read = codec.parse(RowsRead, json.loads(body))
-        records.read_snapshot(read.rows[0], read.rows[1])
-        return Work(1, 1, len(body))
+    return rows, functools.partial(_run_read_document, body)
 
-    return rows, act
+
+def _run_snapshot(snapshot: Any) -> Work:
+    frame = codec.encode(PeerFrame(1, snapshot))
+    receive(frame)
+    return Work(1, 1, len(frame) + 4)
 
 
 def build_snapshot(databases: int) -> tuple[Any, Round]:
     """Sends the document to a peer that is behind, and reads it there."""
     snapshot = worlds.create_snapshot(_scale_world(databases))
 
-    def act() -> Work:
-        frame = codec.encode(PeerFrame(1, snapshot))
-        receive(frame)
-        return Work(1, 1, len(frame) + 4)
-
-    return snapshot, act
+    return snapshot, functools.partial(_run_snapshot, snapshot)
 
 
 def build_adopt_keys(databases: int) -> tuple[Any, Round]:
@@ -362,6 +373,13 @@
     return _build_adopt(databases, membership.decide, state)
 
 
+def _run_adopt(base: Any, decide: Any, state: Any, versions: Any) -> Work:
+    versions[0] += 1
+    snapshot = base.snapshot._replace(version=versions[0])
+    decide(base._replace(snapshot=snapshot), state, worlds.START_S)
+    return Work(1)
+
+
 def _build_adopt(
     databases: int,
     decide: Any,
@@ -370,13 +388,7 @@
     base = worlds.create_in_force(_scale_world(databases))
     versions = [0]
 
-    def act() -> Work:
-        versions[0] += 1
-        snapshot = base.snapshot._replace(version=versions[0])
-        decide(base._replace(snapshot=snapshot), state, worlds.START_S)
-        return Work(1)
-
-    return state, act
+    return state, functools.partial(_run_adopt, base, decide, state, versions)
 
 
 def create_changed(world: worlds.World) -> HostsChanged:
@@ -389,6 +401,12 @@
     )
 
 
+def _run_hosts_changed(every: Any, state: Any, without: Any) -> Work:
+    dispatch.decide(every, state, worlds.START_S)
+    dispatch.decide(without, state, worlds.START_S)
+    return Work(2)
+
+
 def build_hosts_changed(hosts: int) -> tuple[Any, Round]:
     """A host comes or goes: the dispatcher ranks every database again."""
     world = worlds.create_world(hosts, worlds.DATABASES)
@@ -398,12 +416,13 @@
     every = create_changed(world)
     without = HostsChanged(every.hosts[:-1])
 
-    def act() -> Work:
-        dispatch.decide(every, state, worlds.START_S)
-        dispatch.decide(without, state, worlds.START_S)
-        return Work(2)
+    return state, functools.partial(_run_hosts_changed, every, state, without)
+
 
-    return state, act
+def _run_views(now_s: Any, state: Any) -> Work:
+    for _ in range(10):
+        dispatch.decide(Tick(), state, now_s)
+    return Work(10)
 
 
 def build_views(databases: int) -> tuple[Any, Round]:
@@ -415,12 +434,13 @@
     views = EndpointViews(worlds.list_views(world.databases))
     dispatch.decide(views, state, now_s)
 
-    def act() -> Work:
-        for _ in range(10):
-            dispatch.decide(Tick(), state, now_s)
-        return Work(10)
+    return state, functools.partial(_run_views, now_s, state)
 
-    return state, act
+
+def _run_take_views(clock: Any, state: Any, views: Any) -> Work:
+    clock[0] += 1
+    dispatch.decide(views, state, clock[0])
+    return Work(1)
 
 
 def build_take_views(databases: int) -> tuple[Any, Round]:
@@ -431,12 +451,7 @@
     views = EndpointViews(worlds.list_views(world.databases))
     clock = [worlds.START_S]
 
-    def act() -> Work:
-        clock[0] += 1
-        dispatch.decide(views, state, clock[0])
-        return Work(1)
-
-    return state, act
+    return state, functools.partial(_run_take_views, clock, state, views)
 
 
 def build_drains(databases: int) -> tuple[Any, Round]:
@@ -449,17 +464,18 @@
     return _build_drains(databases, WorkCount('callers', 3))
 
 
+def _run_drains(message: Any, state: Any) -> Work:
+    for _ in range(20):
+        drains.decide(message, state, worlds.START_S)
+    return Work(20)
+
+
 def _build_drains(databases: int, message: Any) -> tuple[Any, Round]:
     state = drains.create_state(zone='zone-1', subscribers=('dispatch',))
     world = worlds.create_world(8, databases)
     drains.decide(worlds.create_in_force(world), state, worlds.START_S)
 
-    def act() -> Work:
-        for _ in range(20):
-            drains.decide(message, state, worlds.START_S)
-        return Work(20)
-
-    return state, act
+    return state, functools.partial(_run_drains, message, state)
 
 
 def build_failover_idle(databases: int) -> tuple[Any, Round]:
@@ -472,6 +488,18 @@
     return _build_failover(databases, rank=0)
 
 
+def _run_failover(clock: Any, states: Any) -> Work:
+    size = 0
+    calls = 0
+    for _ in range(round(1 / FAST_TICK_S)):
+        clock[0] += FAST_TICK_S
+        for state in states:
+            for out in failover.decide(Tick(), state, clock[0]):
+                size += _answer_probe(out, state, clock[0])
+                calls += 1
+    return Work(1, calls, size)
+
+
 def _build_failover(databases: int, *, rank: int) -> tuple[Any, Round]:
     clock = [worlds.START_S]
     peers = tuple(worlds.create_world(worlds.HOSTS, 1).hosts)
@@ -495,18 +523,7 @@
         failover.decide(RowsRead((state['row'],)), state, clock[0])
         states.append(state)
 
-    def act() -> Work:
-        size = 0
-        calls = 0
-        for _ in range(round(1 / FAST_TICK_S)):
-            clock[0] += FAST_TICK_S
-            for state in states:
-                for out in failover.decide(Tick(), state, clock[0]):
-                    size += _answer_probe(out, state, clock[0])
-                    calls += 1
-        return Work(1, calls, size)
-
-    return states, act
+    return states, functools.partial(_run_failover, clock, states)
 
 
 def _answer_probe(out: Any, state: Any, now_s: float) -> int:
@@ -546,19 +563,20 @@
     return state, settings
 
 
+def _run_rates(clock: Any, state: Any) -> Work:
+    for _ in range(round(1 / FAST_TICK_S)):
+        clock[0] += FAST_TICK_S
+        rates.decide(Tick(), state, clock[0])
+    return Work(1)
+
+
 def build_rates(workspaces: int) -> tuple[Any, Round]:
     """Ticks of a second of the rates, without a renewal of the lease."""
     state = _create_rates(worlds.HOSTS, workspaces)[0]
     clock = [worlds.START_S + 20]
     state['next_commit_s'] = float('inf')
 
-    def act() -> Work:
-        for _ in range(round(1 / FAST_TICK_S)):
-            clock[0] += FAST_TICK_S
-            rates.decide(Tick(), state, clock[0])
-        return Work(1)
-
-    return state, act
+    return state, functools.partial(_run_rates, clock, state)
 
 
 def _create_lease_row(settings: RateSettings) -> Row:
@@ -579,6 +597,17 @@
     return Row(key, 1, content)
 
 
+def _run_lease(clock: Any, row: Any, state: Any, version: Any) -> Work:
+    clock[0] += rates.RENEW_S
+    demand = dict.fromkeys(state['demand'], 1.25)
+    commit = leases.plan_commit(state['leases'], demand, frozenset(), clock[0])
+    body = json.dumps(codec.to_object(commit))
+    version[0] += 1
+    written = Row(row.key, version[0], commit.writes[0].content)
+    rates.decide(CommitResult(committed=True, rows=(written,)), state, clock[0])
+    return Work(1, 1, len(body))
+
+
 def build_lease(workspaces: int) -> tuple[Any, Round]:
     """One renewal of the lease: plan, commit, answer; bytes of the commit."""
     state, settings = _create_rates(worlds.HOSTS, workspaces)
@@ -587,21 +616,12 @@
     rates.decide(RowsRead((row,)), state, clock[0])
     version = [1]
 
-    def act() -> Work:
-        clock[0] += rates.RENEW_S
-        demand = dict.fromkeys(state['demand'], 1.25)
-        commit = leases.plan_commit(
-            state['leases'], demand, frozenset(), clock[0]
-        )
-        body = json.dumps(codec.to_object(commit))
-        version[0] += 1
-        written = Row(row.key, version[0], commit.writes[0].content)
-        rates.decide(
-            CommitResult(committed=True, rows=(written,)), state, clock[0]
-        )
-        return Work(1, 1, len(body))
+    return state, functools.partial(_run_lease, clock, row, state, version)
+
 
-    return state, act
+def _run_metrics(state: Any) -> Work:
+    shown: Any = metrics.decide(ShowMetrics('m'), state, 0)[0]
+    return Work(1, 1, len(shown.message.text))
 
 
 def build_metrics(workspaces: int) -> tuple[Any, Round]:
@@ -615,11 +635,13 @@
         metrics.decide(QueueTimeCounted(name, 0.01), state, 0)
         metrics.decide(LeaseObserved(name, 10), state, 0)
 
-    def act() -> Work:
-        shown: Any = metrics.decide(ShowMetrics('m'), state, 0)[0]
-        return Work(1, 1, len(shown.message.text))
+    return state, functools.partial(_run_metrics, state)
 
-    return state, act
+
+def _run_freshness(fresh: Any, state: Any) -> Work:
+    for _ in range(1000):
+        keys.decide(fresh, state, worlds.START_S)
+    return Work(1000)
 
 
 def build_freshness(databases: int) -> tuple[Any, Round]:
@@ -631,12 +653,7 @@
         1, confirmed=True, confirmed_at_s=worlds.START_S, evidence='store'
     )
 
-    def act() -> Work:
-        for _ in range(1000):
-            keys.decide(fresh, state, worlds.START_S)
-        return Work(1000)
-
-    return state, act
+    return state, functools.partial(_run_freshness, fresh, state)
 
 
 SERIES = (
--- a/bench/capacity_measure.py
+++ b/bench/capacity_measure.py
@@ -132,17 +132,21 @@
     series.build(min(series.sizes))[1]()
     gc.collect()
     tracemalloc.start()
-    state, act = series.build(size)
-    act()
-    # What the driver prepared is no part of the state.
-    del act
+    kept = [_run_once(series, size)]
     gc.collect()
     held = tracemalloc.get_traced_memory()[0]
     tracemalloc.stop()
-    del state
+    kept.clear()
     return held
 
 
+def _run_once(series: Series, size: int) -> Any:
+    """Returns the state alone: what the driver prepared is no part of it."""
+    state, act = series.build(size)
+    act()
+    return state
+
+
 def fit(sizes: Sequence[float], figures: Sequence[float]) -> Slope:
     """Returns the least squares line and its worst relative miss."""
     if len(set(sizes)) < 2:
--- a/bench/capacity_pairs.py
+++ b/bench/capacity_pairs.py
@@ -166,7 +166,7 @@
             for name, time_s in row.items():
                 columns.setdefault(name, []).append(time_s)
         group.cancel_scope.cancel()
-    return report({name: times[1:] for name, times in columns.items()})
+    return report({variant: times[1:] for variant, times in columns.items()})
 
 
 async def _run_task(mesh: Mesh, task: Task, group: Any) -> None:
--- a/bench/capacity_path.py
+++ b/bench/capacity_path.py
@@ -4,6 +4,7 @@
 the callers' ones are.
 """
 
+import functools
 import itertools
 from typing import Any, NamedTuple
 
@@ -229,16 +230,24 @@
     return len(sent) + len(answered) + 8
 
 
+def _run_forward(result: Any, statement: Any) -> Work:
+    size = sum(forward(statement, result) for _ in range(BATCH))
+    return Work(BATCH, 2 * BATCH, size)
+
+
 def build_forward(parameters: int) -> tuple[Any, Round]:
     """A statement and its result between two daemons."""
     statement = create_statement()._replace(parameters=('x' * 10,) * parameters)
     result = create_result()
 
-    def act() -> Work:
-        size = sum(forward(statement, result) for _ in range(BATCH))
-        return Work(BATCH, 2 * BATCH, size)
+    return statement, functools.partial(_run_forward, result, statement)
 
-    return statement, act
+
+def _run_keys(key: Any, state: Any) -> Work:
+    for _ in range(BATCH):
+        check = CheckKey(str(next(ids)), key, WORKSPACE, 'catalogue')
+        keys.decide(check, state, NOW_S)
+    return Work(BATCH)
 
 
 def build_keys(databases: int) -> tuple[Any, Round]:
@@ -246,26 +255,21 @@
     state = create_keys(databases)
     key = worlds.issue_key(0, 0).key
 
-    def act() -> Work:
-        for _ in range(BATCH):
-            check = CheckKey(str(next(ids)), key, WORKSPACE, 'catalogue')
-            keys.decide(check, state, NOW_S)
-        return Work(BATCH)
+    return state, functools.partial(_run_keys, key, state)
+
 
-    return state, act
+def _run_rates(state: Any) -> Work:
+    for _ in range(BATCH):
+        request = AdmitRequest(str(next(ids)), WORKSPACE, BUDGET_S)
+        rates.decide(request, state, NOW_S)
+    return Work(BATCH)
 
 
 def build_rates(workspaces: int) -> tuple[Any, Round]:
     """One admission from the host's own bucket."""
     state = create_rates(workspaces)
 
-    def act() -> Work:
-        for _ in range(BATCH):
-            request = AdmitRequest(str(next(ids)), WORKSPACE, BUDGET_S)
-            rates.decide(request, state, NOW_S)
-        return Work(BATCH)
-
-    return state, act
+    return state, functools.partial(_run_rates, state)
 
 
 def build_plan(databases: int) -> tuple[Any, Round]:
@@ -278,17 +282,26 @@
     return _build_plan(hosts, worlds.DATABASES)
 
 
+def _run_plan(databases: Any, state: Any) -> Work:
+    for number in range(BATCH):
+        name = f'workspace-{number % databases:04}'
+        plan = PlanStatement(str(next(ids)), name, 'catalogue')
+        dispatch.decide(plan, state, NOW_S)
+    return Work(BATCH)
+
+
 def _build_plan(hosts: int, databases: int) -> tuple[Any, Round]:
     state = create_dispatch(hosts, databases)
 
-    def act() -> Work:
-        for number in range(BATCH):
-            name = f'workspace-{number % databases:04}'
-            plan = PlanStatement(str(next(ids)), name, 'catalogue')
-            dispatch.decide(plan, state, NOW_S)
-        return Work(BATCH)
+    return state, functools.partial(_run_plan, databases, state)
 
-    return state, act
+
+def _run_acknowledgements(
+    clock: Any, members: Any, pending: Any, state: Any
+) -> Work:
+    for _ in range(BATCH // pending):
+        _confirm_batch(state, clock, members[0], pending)
+    return Work(BATCH // pending * pending)
 
 
 def build_acknowledgements(pending: int) -> tuple[Any, Round]:
@@ -297,12 +310,9 @@
     state = acknowledgements.create_state('database-000', members)
     clock = [NOW_S]
 
-    def act() -> Work:
-        for _ in range(BATCH // pending):
-            _confirm_batch(state, clock, members[0], pending)
-        return Work(BATCH // pending * pending)
-
-    return state, act
+    return state, functools.partial(
+        _run_acknowledgements, clock, members, pending, state
+    )
 
 
 def _confirm_batch(
@@ -330,6 +340,16 @@
         calls.extend(acknowledgements.decide(answer, state, clock[0]))
 
 
+def _run_queue(clock: Any, state: Any, waiting: Any, workspaces: Any) -> Work:
+    for index in range(BATCH):
+        clock[0] += STEP_S
+        name = f'workspace-{index % workspaces:04}'
+        _enqueue(state, name, clock, waiting)
+        running = next(iter(state['running']))
+        queues.decide(Finish(running), state, clock[0])
+    return Work(BATCH)
+
+
 def build_queue(workspaces: int) -> tuple[Any, Round]:
     """One statement through a queue in which each workspace waits."""
     state = queues.create_state(ENDPOINT)
@@ -338,16 +358,9 @@
     for index in range(workspaces):
         _enqueue(state, f'workspace-{index:04}', clock, waiting)
 
-    def act() -> Work:
-        for index in range(BATCH):
-            clock[0] += STEP_S
-            name = f'workspace-{index % workspaces:04}'
-            _enqueue(state, name, clock, waiting)
-            running = next(iter(state['running']))
-            queues.decide(Finish(running), state, clock[0])
-        return Work(BATCH)
-
-    return state, act
+    return state, functools.partial(
+        _run_queue, clock, state, waiting, workspaces
+    )
 
 
 def _enqueue(
@@ -361,28 +374,42 @@
     queues.decide(Enqueue(name, workspace, 1e6), state, clock[0])
 
 
+def _run_pool(state: Any) -> Work:
+    for _ in range(BATCH):
+        use_pool(state)
+    return Work(BATCH)
+
+
 def build_pool(size: int) -> tuple[Any, Round]:
     """One statement on a pool with this many connections."""
     state = create_pool(size)
 
-    def act() -> Work:
-        for _ in range(BATCH):
-            use_pool(state)
-        return Work(BATCH)
+    return state, functools.partial(_run_pool, state)
 
-    return state, act
+
+def _run_pool_ticks(state: Any) -> Work:
+    for _ in range(BATCH):
+        connections.decide(Tick(), state, NOW_S)
+    return Work(BATCH)
 
 
 def build_pool_ticks(size: int) -> tuple[Any, Round]:
     """One tick of a pool with this many connections."""
     state = create_pool(size)
 
-    def act() -> Work:
-        for _ in range(BATCH):
-            connections.decide(Tick(), state, NOW_S)
-        return Work(BATCH)
+    return state, functools.partial(_run_pool_ticks, state)
 
-    return state, act
+
+def _run_transactions(names: Any, opened: Any, state: Any) -> Work:
+    for number in range(BATCH):
+        name = names[number % opened]
+        use = UseTransaction(
+            str(number), name, WORKSPACE, TransactionStep.INSIDE
+        )
+        transactions.decide(use, state, NOW_S)
+        ended = StatementEnded(str(number), name, answered=True, open=True)
+        transactions.decide(ended, state, NOW_S)
+    return Work(BATCH)
 
 
 def build_transactions(opened: int) -> tuple[Any, Round]:
@@ -396,30 +423,26 @@
         begun: Any = transactions.decide(begin, state, NOW_S)[0]
         names.append(begun.message.transaction)
 
-    def act() -> Work:
-        for number in range(BATCH):
-            name = names[number % opened]
-            use = UseTransaction(
-                str(number), name, WORKSPACE, TransactionStep.INSIDE
-            )
-            transactions.decide(use, state, NOW_S)
-            ended = StatementEnded(str(number), name, answered=True, open=True)
-            transactions.decide(ended, state, NOW_S)
-        return Work(BATCH)
+    return state, functools.partial(_run_transactions, names, opened, state)
+
 
-    return state, act
+def _run_transaction_ticks(state: Any) -> Work:
+    for _ in range(BATCH):
+        transactions.decide(Tick(), state, NOW_S)
+    return Work(BATCH)
 
 
 def build_transaction_ticks(opened: int) -> tuple[Any, Round]:
     """One tick with open transactions."""
     state = build_transactions(opened)[0]
 
-    def act() -> Work:
-        for _ in range(BATCH):
-            transactions.decide(Tick(), state, NOW_S)
-        return Work(BATCH)
+    return state, functools.partial(_run_transaction_ticks, state)
 
-    return state, act
+
+def _run_traces(state: Any, steps: Any) -> Work:
+    for _ in range(BATCH):
+        traces.decide(_create_trace(steps), state, NOW_S)
+    return Work(BATCH)
 
 
 def build_traces(kept: int) -> tuple[Any, Round]:
@@ -433,12 +456,7 @@
     for _ in range(kept):
         traces.decide(_create_trace(steps), state, NOW_S)
 
-    def act() -> Work:
-        for _ in range(BATCH):
-            traces.decide(_create_trace(steps), state, NOW_S)
-        return Work(BATCH)
-
-    return state, act
+    return state, functools.partial(_run_traces, state, steps)
 
 
 def _create_trace(steps: list[tuple[float, str, str, str]]) -> RequestTrace:
@@ -452,6 +470,13 @@
     )
 
 
+def _run_tokens(token: Any) -> Work:
+    for _ in range(BATCH):
+        verified = tokens.verify(token, WORKSPACE, SECRETS)
+        tokens.sign(verified, WORKSPACE, SECRETS)
+    return Work(BATCH, 0, len(token) * BATCH)
+
+
 def build_tokens(positions: int) -> tuple[Any, Round]:
     """One token verified and one signed."""
     session = Session(
@@ -464,13 +489,7 @@
     )
     token = tokens.sign(session, WORKSPACE, SECRETS)
 
-    def act() -> Work:
-        for _ in range(BATCH):
-            verified = tokens.verify(token, WORKSPACE, SECRETS)
-            tokens.sign(verified, WORKSPACE, SECRETS)
-        return Work(BATCH, 0, len(token) * BATCH)
-
-    return token, act
+    return token, functools.partial(_run_tokens, token)
 
 
 SERIES = (
--- a/bench/capacity_world.py
+++ b/bench/capacity_world.py
@@ -92,8 +92,8 @@
         'zones': {zone: {'in_service': True} for zone in zones},
         'databases': databases,
         'hosts': {
-            name: {'zone': zone, 'address': ADDRESS}
-            for name, zone in world.hosts.items()
+            host: {'zone': zone, 'address': ADDRESS}
+            for host, zone in world.hosts.items()
         },
     }
 
