Plan a statement without a walk over all endpoints and hosts

Each plan sorted all endpoints, looked at all observations twice and hashed the endpoint with all live hosts. The endpoints and views are kept by database, and owners until the live hosts change.

--- a/poplarspoke/dispatch.py
+++ b/poplarspoke/dispatch.py
@@ -86,11 +86,14 @@
         version: Settings version in force.
         routes: Routes of all workspaces.
         places: Endpoints of the settings.
+        endpoints: Names of the endpoints of each database, sorted.
         observations: Latest view of each endpoint.
+        seen: Names of the endpoints with a view, by database.
         observed: Endpoints that this host observes itself.
         primaries: Primary with the highest known term by database.
         weights: Share of new work of each endpoint.
         hosts: Live hosts, sorted.
+        owners: Owners found since the hosts changed, by endpoint.
         rng: Source of the draws for the ramp.
     """
 
@@ -99,11 +102,14 @@
     version: int
     routes: dict[RouteName, Route]
     places: dict[str, Place]
+    endpoints: dict[str, list[str]]
     observations: dict[str, Observation]
+    seen: dict[str, set[str]]
     observed: set[str]
     primaries: dict[str, Primary]
     weights: dict[str, EndpointWeight]
     hosts: tuple[str, ...]
+    owners: dict[str, str]
     rng: random.Random
 
 
@@ -115,11 +121,14 @@
         version=0,
         routes={},
         places={},
+        endpoints={},
         observations={},
+        seen={},
         observed=set(),
         primaries={},
         weights={},
         hosts=(host,),
+        owners={},
         rng=random.Random(seed),
     )
 
@@ -164,6 +173,7 @@
     state['version'] = message.snapshot.version
     state['routes'] = list_routes(document)
     state['places'] = list_places(document)
+    state['endpoints'] = _list_endpoints(state['places'])
     return _rank(state)
 
 
@@ -217,6 +227,7 @@
     if hosts == state['hosts']:
         return []
     state['hosts'] = hosts
+    state['owners'].clear()
     return _rank(state)
 
 
@@ -271,9 +282,9 @@
 def find_primary(state: DispatchState, database: str) -> Primary:
     """Returns the primary with the highest known term, empty if unknown."""
     found = state['primaries'].get(database, Primary(0, ''))
-    for observation in state['observations'].values():
-        view = observation.view
-        if not view.primary or view.database != database:
+    for endpoint in state['seen'].get(database, ()):
+        view = state['observations'][endpoint].view
+        if not view.primary:
             continue
         found = max(found, Primary(view.last.term, view.endpoint))
     return found
@@ -283,17 +294,34 @@
     """Keeps a view unless a later one is known."""
     at_s = now_s - view.observed_ago_s
     known = state['observations'].get(view.endpoint)
-    if known is None or at_s > known.at_s:
-        state['observations'][view.endpoint] = Observation(view, at_s)
+    if known is not None and at_s <= known.at_s:
+        return
+    if known is not None:
+        state['seen'][known.view.database].discard(view.endpoint)
+    state['observations'][view.endpoint] = Observation(view, at_s)
+    state['seen'].setdefault(view.database, set()).add(view.endpoint)
+
+
+def _list_endpoints(places: dict[str, Place]) -> dict[str, list[str]]:
+    endpoints: dict[str, list[str]] = {}
+    for endpoint in sorted(places):
+        endpoints.setdefault(places[endpoint].database, []).append(endpoint)
+    return endpoints
+
+
+def _find_owner(endpoint: str, state: DispatchState) -> str:
+    owner = state['owners'].get(endpoint)
+    if owner is None:
+        owner = routing.find_owner(endpoint, state['hosts'])
+        state['owners'][endpoint] = owner
+    return owner
 
 
 def _rank(state: DispatchState) -> list[Outgoing]:
     """Tells each failover task the rank of this host for its database."""
     outgoing: list[Outgoing] = []
     peers = tuple(name for name in state['hosts'] if name != state['host'])
-    for database in sorted(
-        {place.database for place in state['places'].values()}
-    ):
+    for database in sorted(state['endpoints']):
         ranked = routing.rank_hosts(database, state['hosts'])
         rank = CandidateRank(ranked.index(state['host']), peers)
         outgoing.append(ToTask(f'{FAILOVER_TASK}:{database}', rank))
@@ -348,7 +376,7 @@
     )
     plan = StatementPlan(
         statement=statement,
-        owner=routing.find_owner(choice.endpoint, state['hosts']),
+        owner=_find_owner(choice.endpoint, state),
         choice=choice,
         settings_version=state['version'],
     )
@@ -384,9 +412,8 @@
 ) -> tuple[Candidate, ...]:
     primary = find_primary(state, database)
     candidates: list[Candidate] = []
-    for endpoint, place in sorted(state['places'].items()):
-        if place.database != database:
-            continue
+    for endpoint in state['endpoints'].get(database, ()):
+        place = state['places'][endpoint]
         view = _find_view(endpoint, primary, state, now_s)
         full = EndpointWeight(endpoint, place.database, 1)
         weight = state['weights'].get(endpoint, full).weight
