--- a/poplarspoke/drains.py
+++ b/poplarspoke/drains.py
@@ -64,6 +64,8 @@
         version: Settings version that the state is made from.
         document: Its document.
         served: Endpoints by name.
+        moving: Names of those whose weight was below 1 at the last message.
+        stale: Whether the published weights are those of an older ``served``.
         leaving: Endpoints that leave on their own.
         primaries: Endpoint of the primary by database.
         asked_at_s: When a database was last asked to change its primary.
@@ -79,6 +81,8 @@
     version: int
     document: Document
     served: dict[str, Served]
+    moving: tuple[str, ...]
+    stale: bool
     leaving: set[str]
     primaries: dict[str, str]
     asked_at_s: dict[str, float]
@@ -102,6 +106,8 @@
         version=0,
         document=Document(teams={}),
         served={},
+        moving=(),
+        stale=False,
         leaving=set(),
         primaries={},
         asked_at_s={},
@@ -196,6 +202,16 @@
             if before is not None or reason:
                 served[name] = _update_one(served[name], before, now_s)
     state['served'] = served
+    state['moving'] = _list_moving(state, now_s)
+    state['stale'] = True
+
+
+def _list_moving(state: DrainsState, now_s: float) -> tuple[str, ...]:
+    return tuple(
+        name
+        for name, entry in state['served'].items()
+        if get_weight(entry, now_s) < 1
+    )
 
 
 def _update_one(served: Served, before: Served | None, now_s: float) -> Served:
@@ -223,6 +239,11 @@
 
 
 def _publish_weights(state: DrainsState, now_s: float) -> list[Outgoing]:
+    # A comparison of 1890 weights for each message cost 0.7 ms.
+    if not state['stale'] and not state['moving']:
+        return []
+    state['stale'] = False
+    state['moving'] = _list_moving(state, now_s)
     weights = tuple(
         EndpointWeight(
             served.endpoint,
@@ -277,7 +298,8 @@
 
 def _end_transactions(state: DrainsState, now_s: float) -> list[Outgoing]:
     outgoing: list[Outgoing] = []
-    for name, served in state['served'].items():
+    for name in state['moving']:
+        served = state['served'][name]
         if not served.out_reason or served.ended:
             continue
         if now_s - served.changed_at_s < GRACE_S:
