--- a/poplarspoke/failover.py
+++ b/poplarspoke/failover.py
@@ -280,12 +280,15 @@
 
 def _consider(state: FailoverState, now_s: float) -> list[Outgoing]:
     """Begins an attempt if there has been a reason for long enough."""
+    if state['rank'] >= ACTING_RANKS:
+        # Without probes there is no evidence; most databases are such.
+        state['suspicion'] = Suspicion()
+        return []
     found = _find_reason(state, now_s)
     if found.reason is not state['suspicion'].reason:
         state['suspected_s'] = now_s
     state['suspicion'] = found
-    is_acting = state['rank'] < ACTING_RANKS
-    if found.reason is FailoverReason.NONE or not is_acting:
+    if found.reason is FailoverReason.NONE:
         return []
     wait_s = state['rank'] * RANK_WAIT_S
     if found.reason is FailoverReason.MEMBER_BARRED:
