Settle withheld room before the units are planned

Ticks no longer settle every bucket, so room withheld for a borrower would have stayed and a leaving host would have kept its units. The plan of a commit now settles first; the new test fails without it.

--- a/poplarspoke/rates.py
+++ b/poplarspoke/rates.py
@@ -174,6 +174,7 @@
         outgoing.append(ToStore(ReadRows(keys=(lease['key'],))))
         return outgoing
     # Tokens in transit on withheld room must not outlive the units.
+    shares.settle_all(state, now_s)
     bound = frozenset(
         workspace
         for workspace, bucket in state['buckets'].items()
--- /dev/null
+++ b/tests/test_dispatch.py
@@ -0,0 +1,114 @@
+"""Guards the plans of the dispatcher against news that it has kept apart."""
+
+import json
+from typing import Any
+
+import pytest
+
+from poplarspoke import dispatch, routing
+from poplarspoke.generated.common import Position
+from poplarspoke.generated.configuration import (
+    SettingsInForce,
+    SettingsSnapshot,
+)
+from poplarspoke.generated.dispatch import PlanStatement, StatementPlan
+from poplarspoke.generated.membership import (
+    EndpointView,
+    EndpointViews,
+    HostsChanged,
+    HostStatus,
+)
+
+HOSTS = tuple(f'h{index}' for index in range(9))
+
+
+def create_document(endpoints: tuple[str, ...]) -> dict[str, Any]:
+    """Returns settings with one database and one write route."""
+    members = {
+        name: {'zone': 'a', 'address': '127.0.0.1:1', 'in_service': True}
+        for name in endpoints
+    }
+    route = {'database': 'db', 'write': True, 'repeat': 'recorded'}
+    workspace = {'rate': 1, 'burst': 1, 'routes': {'write': route}}
+    return {
+        'teams': {'red': {'workspaces': {'w': workspace}}},
+        'zones': {'a': {'in_service': True}},
+        'databases': {
+            'db': {'slots': 2, 'connections': 5, 'endpoints': members},
+        },
+    }
+
+
+class Host:
+    """A dispatcher that knows the database and all hosts."""
+
+    def __init__(self) -> None:
+        """Puts the settings in force; m1 is the primary of term 1."""
+        self.state = dispatch.create_state('h0', 'a', seed=1)
+        self.now_s = 100.0
+        self.configure(1, ('m1', 'm2'))
+        self.change_hosts(HOSTS)
+        self.observe('m1', 'db', term=1)
+
+    def tell(self, message: Any) -> list[Any]:
+        """Returns the messages that follow from a message."""
+        sent = dispatch.decide(message, self.state, self.now_s)
+        return [entry.message for entry in sent]
+
+    def configure(self, version: int, endpoints: tuple[str, ...]) -> None:
+        """Puts settings with these endpoints in force."""
+        text = json.dumps(create_document(endpoints))
+        self.tell(SettingsInForce(SettingsSnapshot('', version, text)))
+
+    def change_hosts(self, hosts: tuple[str, ...]) -> None:
+        """Tells which hosts are live."""
+        entries = tuple(HostStatus(name, live=True) for name in hosts)
+        self.tell(HostsChanged(entries))
+
+    def observe(self, endpoint: str, database: str, *, term: int) -> None:
+        """Gives a fresh view of a reachable primary."""
+        self.now_s += 0.1
+        view = EndpointView(
+            endpoint,
+            database,
+            Position(term, 1),
+            primary=True,
+            reachable=True,
+        )
+        self.tell(EndpointViews((view,)))
+
+    def plan(self) -> StatementPlan:
+        """Returns the plan of a write."""
+        plan: StatementPlan = self.tell(PlanStatement('p', 'w', 'write'))[0]
+        return plan
+
+
+@pytest.fixture
+def host() -> Host:
+    """A dispatcher that knows the database and all hosts."""
+    return Host()
+
+
+def test_owner_follows_the_live_hosts(host: Host) -> None:
+    """Guards against a kept owner that is dead."""
+    owner = host.plan().owner
+    assert owner == routing.find_owner('m1', HOSTS)
+    left = tuple(name for name in HOSTS if name != owner)
+    host.change_hosts(left)
+    assert host.plan().owner == routing.find_owner('m1', (*left, 'h0'))
+
+
+def test_removed_endpoint_gets_nothing(host: Host) -> None:
+    """Guards against a kept list of the endpoints of an older version."""
+    assert host.plan().statement.endpoint == 'm1'
+    host.configure(2, ('m2', 'm3'))
+    assert host.plan().refused
+    host.observe('m3', 'db', term=2)
+    assert host.plan().statement.endpoint == 'm3'
+
+
+def test_view_of_another_database_is_no_primary(host: Host) -> None:
+    """Guards against a primary that was moved to another database."""
+    host.observe('m1', 'other', term=9)
+    assert dispatch.find_primary(host.state, 'db').endpoint == ''
+    assert dispatch.find_primary(host.state, 'other').endpoint == 'm1'
--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -202,6 +202,18 @@
     assert set(find_holders(fleet)) == set(NAMES[:3])
 
 
+def test_leaving_lender_hands_back() -> None:
+    """Guards against withheld room that ends unnoticed and keeps the units."""
+    fleet = create_fleet()
+    lender = fleet.hosts['d']
+    bucket = lender.state['buckets']['w']
+    fleet.handle(lender, LeaveRates())
+    hold = buckets.Hold(0, fleet.now_s + lender.offset_s + 0.06)
+    bucket['withheld'].append(hold)
+    fleet.wait(4)
+    assert set(find_holders(fleet)) == set(NAMES[:3])
+
+
 def test_lowered_rate() -> None:
     """Guards against tokens of the old burst after the change is in force."""
     fleet = create_fleet()
