--- a/bench/capacity_callers.py
+++ b/bench/capacity_callers.py
@@ -94,8 +94,10 @@
     OUT.mkdir(parents=True, exist_ok=True)
     samples = [anyio.run(measure, count) for count in COUNTS]
     for sample in samples:
-        print(', '.join(f'{name} {size:.0f}' for name, size in sample.items()))
-    held = [float(sample['traced_bytes']) for sample in samples]
+        print(
+            ', '.join(f'{name} {figure:.0f}' for name, figure in sample.items())
+        )
+    held = [float(one['traced_bytes']) for one in samples]
     slope = fit([float(count) for count in COUNTS], held)
     print(f'{slope.slope:.0f} traced bytes for each connection')
     report = {'samples': samples, 'slope': slope._asdict()}
--- a/bench/capacity_control.py
+++ b/bench/capacity_control.py
@@ -18,7 +18,6 @@
     drains,
     failover,
     keys,
-    leases,
     membership,
     metrics,
     rates,
@@ -599,8 +598,10 @@
 
 def _run_lease(clock: Any, row: Any, state: Any, version: Any) -> Work:
     clock[0] += rates.RENEW_S
-    demand = dict.fromkeys(state['demand'], 1.25)
-    commit = leases.plan_commit(state['leases'], demand, frozenset(), clock[0])
+    state['demand'] = dict.fromkeys(state['demand'], 2.5)
+    state['next_commit_s'] = clock[0]
+    sent = rates.decide(Tick(), state, clock[0])
+    commit = next(out for out in sent if isinstance(out, ToStore)).message
     body = json.dumps(codec.to_object(commit))
     version[0] += 1
     written = Row(row.key, version[0], commit.writes[0].content)
