Report a write as unknown when its confirmation task is late

Ruled out: a collision of request ids in the inbox of the pool; its answer to EndExchange is given in the step that takes the question. Failed first: test_late_majority_is_unknown and test_late_pool_after_answer_is_unknown.

--- a/poplarspoke/execution.py
+++ b/poplarspoke/execution.py
@@ -194,10 +194,14 @@
             message,
             timeout_s=timeout_s,
         )
-        ended = await unit.pool.ask(
-            EndExchange(request_id, connection, answer.request_id, clean),
-            timeout_s=timeout_s,
-        )
+        # The statement has run, so a late pool must not be told as not run.
+        try:
+            ended = await unit.pool.ask(
+                EndExchange(request_id, connection, answer.request_id, clean),
+                timeout_s=max(self.count_left(until_s), RETURN_S),
+            )
+        except errors.RefusedError as exc:
+            raise web.AnswerLostError('the pool did not answer') from exc
         if isinstance(ended, ExchangeEnded) and ended.accepted:
             return answer
         raise web.AnswerLostError('a late answer to another request came')
@@ -214,15 +218,20 @@
             return build_result(statement, answer, answer.age_s)
         attempt = self.name_attempt()
         budget_s = self.count_left(until_s)
-        reply = await unit.acknowledgements.ask(
-            AwaitMajority(
-                attempt,
-                unit.endpoint,
-                answer.position,
-                budget_s,
-            ),
-            timeout_s=budget_s + RETURN_S,
+        question = AwaitMajority(
+            attempt,
+            unit.endpoint,
+            answer.position,
+            budget_s,
         )
+        try:
+            reply = await unit.acknowledgements.ask(
+                question,
+                timeout_s=budget_s + RETURN_S,
+            )
+        except errors.RefusedError:
+            # A change of the settings may have ended the task.
+            reply = MajorityMissed(attempt)
         if isinstance(reply, MajorityMissed):
             return refuse_result(statement, _refuse_missed(statement, reply))
         found = build_result(statement, answer, 0)
