Keep an unknown outcome when a later attempt finds no plan

Change: the proxy passes raised refusals through keep_unknown. Ruled out: refusals that the retry rules report; they know of it already.

--- a/poplarspoke/courses.py
+++ b/poplarspoke/courses.py
@@ -2,8 +2,8 @@
 
 from typing import TypedDict
 
-from poplarspoke import sessions
-from poplarspoke.generated.common import Outcome, Refusal
+from poplarspoke import errors, sessions
+from poplarspoke.generated.common import ErrorCode, Outcome, Refusal
 from poplarspoke.generated.dispatch import StatementPlan
 from poplarspoke.generated.membership import EndpointView
 from poplarspoke.generated.operators import RequestStep, RequestTrace
@@ -105,6 +105,17 @@
     )
 
 
+def keep_unknown(course: Course, refusal: Refusal) -> Refusal:
+    """Returns a refusal that also tells the truth about earlier attempts."""
+    if not course['unknown']:
+        return refusal
+    return errors.refuse(
+        ErrorCode.OUTCOME_UNKNOWN,
+        f'an earlier attempt was lost; then: {refusal.message}',
+        outcome=Outcome.UNKNOWN,
+    )
+
+
 def note_position(
     course: Course,
     statement: Statement,
--- a/poplarspoke/proxy.py
+++ b/poplarspoke/proxy.py
@@ -84,7 +84,8 @@
         try:
             answer = await self._serve(course)
         except errors.PoplarspokeError as exc:
-            answer = self._refuse(course, errors.refuse_from(exc))
+            refusal = courses.keep_unknown(course, errors.refuse_from(exc))
+            answer = self._refuse(course, refusal)
         self._record(course, answer)
         return answer
 
