Replace a primary that is cut off from its group only

Cause: a primary that answers the probes of the hosts was only suspected once a majority had a higher term, so one whose replication reached no member kept its role for ever and acknowledged nothing. Change: PRIMARY_ISOLATED, when the replicas do not hear the primary and its own status says that no majority has answered it for 1 s. Ruled out: the stand-in; its status reports the growing age, and its replicas report that they do not hear it.

--- a/poplarspoke/schema/failover.capnp
+++ b/poplarspoke/schema/failover.capnp
@@ -10,6 +10,8 @@
   superseded @3;  # A majority has adopted a term without a primary.
   memberBarred @4;  # A member has adopted a term that its primary lacks.
   drain @5;  # The primary's endpoint leaves service.
+  primaryIsolated @6;  # The primary answers, but neither it nor the replicas
+  # hear each other.
 }
 
 enum FailoverStep {
--- a/poplarspoke/suspicion.py
+++ b/poplarspoke/suspicion.py
@@ -142,6 +142,12 @@
             FailoverReason.PRIMARY_LOST,
             f'{primary} gave no answer to {view["failures"]} probes; {reports}',
         )
+    if _is_isolated(view, now_s):
+        return Suspicion(
+            FailoverReason.PRIMARY_ISOLATED,
+            f'no majority has answered {primary} for '
+            f'{view["status"].age_s:.1f} s; {reports}',
+        )
     ahead = [name for name in deaf if _is_ahead(views[name], term)]
     if len(ahead) >= majorities.count_majority(len(views)):
         return Suspicion(
@@ -172,6 +178,14 @@
     return Suspicion()
 
 
+def _is_isolated(view: MemberView, now_s: float) -> bool:
+    """Returns whether a primary says that no majority answers it."""
+    if not is_recent(view, now_s):
+        return False
+    status = view['status']
+    return status.role is Role.PRIMARY and status.age_s >= NOT_HEARD_S
+
+
 def _is_recent_replica(view: MemberView, now_s: float) -> bool:
     return is_recent(view, now_s) and view['status'].role is Role.REPLICA
 
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -94,6 +94,17 @@
     assert len(world.primaries) == 2
 
 
+@pytest.mark.parametrize('seed', range(3))
+def test_primary_cut_off_from_its_group_is_replaced(seed: int) -> None:
+    """A primary that answers all hosts but no member kept its role for ever."""
+    world = start_world(seed)
+    assert write_until_acknowledged(world, 'before', LIMIT_S)
+    old = world.primaries[max(world.primaries)]
+    isolate(world, old, tuple(name for name in world.members if name != old))
+    assert write_until_acknowledged(world, 'after', LIMIT_S)
+    assert world.primaries[max(world.primaries)] != old
+
+
 @pytest.mark.parametrize('seed', range(30))
 def test_candidates_compete_without_the_table(seed: int) -> None:
     """Candidates of equal rank must not both promote a member in a term."""
