Tell the truth about lost writes whose next plan is refused

Cause: a refused plan did not say that it was for a write, so the outcome of an earlier attempt that may have run was reported as failed instead of unknown. The plan now carries the statement also when it is refused.

Questions to the decision tasks are named by a counter. The address of the request, which served as the name, may be used again by another request, which could then get the late answer to an earlier key check.

Workspaces that no key proved no longer become labels of the service metric.

--- a/poplarspoke/courses.py
+++ b/poplarspoke/courses.py
@@ -27,7 +27,9 @@
     """A request on its way; owned by the task of its connection.
 
     Attributes:
+        name: Unique for each request of this daemon, unlike the caller's id.
         request: The request as it came.
+        is_known: Whether the key was accepted for the workspace.
         started_s: When it came.
         until_s: The caller's deadline.
         session: Positions that the session requires.
@@ -38,7 +40,9 @@
         steps: What was decided, for ``explain``.
     """
 
+    name: str
     request: CallerRequest
+    is_known: bool
     started_s: float
     until_s: float
     session: Session
@@ -49,10 +53,12 @@
     steps: list[RequestStep]
 
 
-def create_course(request: CallerRequest, now_s: float) -> Course:
+def create_course(name: str, request: CallerRequest, now_s: float) -> Course:
     """Returns the state of a request that has just come."""
     return Course(
+        name=name,
         request=request,
+        is_known=False,
         started_s=now_s,
         until_s=now_s + request.budget_s,
         session=Session(),
--- a/poplarspoke/dispatch.py
+++ b/poplarspoke/dispatch.py
@@ -10,7 +10,7 @@
 from typing import Any, NamedTuple, TypedDict
 
 from poplarspoke import errors, routing, sessions
-from poplarspoke.generated.common import ErrorCode, Position, Refusal, Tick
+from poplarspoke.generated.common import ErrorCode, Position, Tick
 from poplarspoke.generated.configuration import (
     SettingsFreshness,
     SettingsInForce,
@@ -264,7 +264,12 @@
             ErrorCode.UNKNOWN_ROUTE,
             f'workspace {message.workspace!r} has no route {message.route!r}',
         )
-        return [_refuse(message, state, refusal)]
+        plan = StatementPlan(
+            settings_version=state['version'],
+            refused=True,
+            refusal=refusal,
+        )
+        return [Reply(message.request_id, plan)]
     return [_plan(message, route, state, now_s)]
 
 
@@ -365,14 +370,39 @@
     query = _build_query(message, route, state)
     candidates = _list_candidates(route['database'], state, now_s)
     choice = routing.choose(query, candidates)
-    if not choice.endpoint and not choice.wait_s:
-        refusal = errors.refuse(
-            ErrorCode.NO_ENDPOINT,
-            f'no endpoint of {route["database"]} can serve the route: '
-            f'{_explain(choice)}',
+    plan = StatementPlan(
+        statement=_build_statement(message, route, query, choice),
+        choice=choice,
+        settings_version=state['version'],
+    )
+    if choice.endpoint or choice.wait_s:
+        term = find_primary(state, route['database']).term
+        return Reply(
+            message.request_id,
+            plan._replace(
+                statement=plan.statement._replace(term=term),
+                owner=_find_owner(choice.endpoint, state),
+            ),
         )
-        return _refuse(message, state, refusal, choice)
-    statement = Statement(
+    refusal = errors.refuse(
+        ErrorCode.NO_ENDPOINT,
+        f'no endpoint of {route["database"]} can serve the route: '
+        f'{_explain(choice)}',
+    )
+    # The retry rules need to know whether it was a write.
+    return Reply(
+        message.request_id,
+        plan._replace(refused=True, refusal=refusal),
+    )
+
+
+def _build_statement(
+    message: PlanStatement,
+    route: Route,
+    query: RouteQuery,
+    choice: RouteChoice,
+) -> Statement:
+    return Statement(
         request_id=message.request_id,
         workspace=message.workspace,
         route=message.route,
@@ -382,17 +412,9 @@
         minimum=query.required,
         max_age_s=query.max_age_s,
         endpoint=choice.endpoint,
-        term=find_primary(state, route['database']).term,
         confirm=choice.confirm or query.write,
         replica=choice.reason in REPLICA_REASONS,
     )
-    plan = StatementPlan(
-        statement=statement,
-        owner=_find_owner(choice.endpoint, state),
-        choice=choice,
-        settings_version=state['version'],
-    )
-    return Reply(message.request_id, plan)
 
 
 def _build_query(
@@ -467,20 +489,3 @@
         for entry in choice.passed
     ]
     return ', '.join(reasons) or 'no endpoint is known'
-
-
-def _refuse(
-    message: PlanStatement,
-    state: DispatchState,
-    refusal: Refusal,
-    choice: RouteChoice | None = None,
-) -> Reply:
-    return Reply(
-        message.request_id,
-        StatementPlan(
-            choice=choice or RouteChoice(),
-            settings_version=state['version'],
-            refused=True,
-            refusal=refusal,
-        ),
-    )
--- a/poplarspoke/proxy.py
+++ b/poplarspoke/proxy.py
@@ -1,5 +1,6 @@
 """The story of one caller's request, from its key to its answer."""
 
+import itertools
 import random
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple, TypeAlias
@@ -77,10 +78,12 @@
         self._now_s = now_s
         self._rng = rng
         self._budget = retries.create_budget(now_s())
+        self._numbers = itertools.count(1)
 
     async def handle(self, request: CallerRequest) -> CallerAnswer:
         """Returns the answer to a request; never raises a coded error."""
-        course = courses.create_course(request, self._now_s())
+        name = f'{self._identity.host}-{next(self._numbers)}'
+        course = courses.create_course(name, request, self._now_s())
         try:
             answer = await self._serve(course)
         except errors.PoplarspokeError as exc:
@@ -127,7 +130,7 @@
     async def _check_key(self, course: Course) -> None:
         request = course['request']
         check = CheckKey(
-            f'{self._identity.host}-{id(course)}',
+            course['name'],
             request.key,
             request.workspace,
             request.route,
@@ -137,6 +140,7 @@
             timeout_s=request.budget_s,
         )
         if isinstance(answer, KeyAccepted):
+            course['is_known'] = True
             return
         code = ErrorCode.KEY_REFUSED
         if answer.status_unknown:
@@ -148,7 +152,7 @@
         remaining_s = course['until_s'] - self._now_s()
         answer = await self._mesh.tasks['rates'].ask(
             AdmitRequest(
-                f'{self._identity.host}-{id(course)}',
+                course['name'],
                 request.workspace,
                 remaining_s,
             ),
@@ -195,7 +199,7 @@
         course['number'] += 1
         plan: StatementPlan = await self._mesh.tasks['dispatch'].ask(
             PlanStatement(
-                request_id=f'{id(course)}.{course["number"]}',
+                request_id=f'{course["name"]}.{course["number"]}',
                 workspace=request.workspace,
                 route=request.route,
                 positions=course['session'].positions,
@@ -361,7 +365,8 @@
             'metrics',
             ServiceCounted(
                 self._identity.zone,
-                request.workspace,
+                # Names that no key proves would fill the bounded labels.
+                request.workspace if course['is_known'] else '',
                 answer.refused,
                 answer.refusal.code,
             ),
--- a/tests/test_courses.py
+++ b/tests/test_courses.py
@@ -17,7 +17,7 @@
 
 def test_refusal_after_lost_write_is_unknown() -> None:
     """A refusal of a later attempt says nothing about the first (R10)."""
-    course = courses.create_course(CallerRequest(request_id='r1'), 0)
+    course = courses.create_course('a-1', CallerRequest(request_id='r1'), 0)
     assert courses.keep_unknown(course, LATE) == LATE
     statement = Statement(write=True, database='db', term=2)
     courses.note_unknown(course, statement, LOST)
@@ -28,6 +28,6 @@
 
 def test_lost_read_is_not_unknown() -> None:
     """A lost read has no effect; unknown would alarm its caller."""
-    course = courses.create_course(CallerRequest(request_id='r1'), 0)
+    course = courses.create_course('a-1', CallerRequest(request_id='r1'), 0)
     courses.note_unknown(course, Statement(database='db'), LOST)
     assert courses.keep_unknown(course, LATE) == LATE
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -188,6 +188,9 @@
     plan = dispatcher.plan('write')
     assert plan.refused
     assert plan.refusal.outcome is Outcome.NOT_RUN
+    # Without these a lost write would be reported as a failed read (R10).
+    assert plan.statement.write
+    assert plan.statement.repeat is Repeat.NEVER
 
 
 def test_older_settings_are_ignored(dispatcher: Dispatcher) -> None:
