Own endpoints from their zone and pass over hosts whose link is down

Cause: rendezvous hashing over all hosts put owners into other zones, so a zone that is cut off could not reach its own endpoints until the membership declared the other zones dead (5 s), and a killed owner stopped its endpoint as long. Change: hosts of the endpoint's zone come first, and a broken link excludes its host for 1 s. Two owners at once are harmless, as ownership is a hint. Tests: test_owner_is_in_the_zone_of_its_endpoint and test_broken_link_moves_the_owner_at_once; not run against the code before.

--- a/poplarspoke/daemon.py
+++ b/poplarspoke/daemon.py
@@ -25,6 +25,7 @@
     wiring,
 )
 from poplarspoke.context import Context
+from poplarspoke.generated.dispatch import LinkDown
 from poplarspoke.generated.drains import BeginShutdown, ReadyChanged, WorkCount
 from poplarspoke.generated.operators import AutomaticAct
 from poplarspoke.generated.platform import HostEntry
@@ -222,6 +223,8 @@
         """Runs a statement here or on the host that owns its endpoint."""
         if owner == self.name:
             return await self._run_local(statement)
+        if not self._peers.is_connected(owner):
+            self.mesh.post('dispatch', LinkDown(owner))
         return await self._peers.forward(owner, statement)
 
     async def _run_local(self, statement: Statement) -> StatementResult:
--- a/poplarspoke/dispatch.py
+++ b/poplarspoke/dispatch.py
@@ -17,6 +17,7 @@
 )
 from poplarspoke.generated.dispatch import (
     EndpointObserved,
+    LinkDown,
     PlanStatement,
     StatementPlan,
 )
@@ -43,6 +44,8 @@
 from poplarspoke.tasks import Outgoing, Reply, ToTask
 
 FAILOVER_TASK = 'failover'
+# The membership notices a dead host after 5 s; a broken link shows at once.
+LINK_AVOIDED_S = 1.0
 MEMBERSHIP_TASK = 'membership'
 # A view that nobody renewed for this long no longer shows a reachable endpoint.
 VIEW_VALID_S = 3.0
@@ -105,6 +108,8 @@
         primaries: Primary with the highest known term by database.
         weights: Share of new work of each endpoint.
         hosts: Live hosts, sorted.
+        zones: Zone of each live host.
+        avoided_until_s: Hosts whose link is down, with the end of that.
         owners: Owners found since the hosts changed, by endpoint.
         rng: Source of the draws for the ramp.
     """
@@ -121,6 +126,8 @@
     primaries: dict[str, Primary]
     weights: dict[str, EndpointWeight]
     hosts: tuple[str, ...]
+    zones: dict[str, str]
+    avoided_until_s: dict[str, float]
     owners: dict[str, str]
     rng: random.Random
 
@@ -140,6 +147,8 @@
         primaries={},
         weights={},
         hosts=(host,),
+        zones={},
+        avoided_until_s={},
         owners={},
         rng=random.Random(seed),
     )
@@ -153,6 +162,7 @@
 
 @decide.register
 def _(message: Tick, state: DispatchState, now_s: float) -> list[Outgoing]:
+    _forget_avoided(state, now_s)
     views: list[EndpointView] = []
     for endpoint in sorted(state['observed']):
         known = state['observations'][endpoint]
@@ -186,6 +196,7 @@
     state['routes'] = list_routes(document)
     state['places'] = list_places(document)
     state['endpoints'] = _list_endpoints(state['places'])
+    state['owners'].clear()
     return _rank(state)
 
 
@@ -235,13 +246,23 @@
         if entry.live and not entry.leaving
     ]
     hosts = tuple(sorted({*live, state['host']}))
-    if hosts == state['hosts']:
+    zones = {entry.host: entry.zone for entry in message.hosts}
+    zones[state['host']] = state['zone']
+    if hosts == state['hosts'] and zones == state['zones']:
         return []
     state['hosts'] = hosts
+    state['zones'] = zones
     state['owners'].clear()
     return _rank(state)
 
 
+@decide.register
+def _(message: LinkDown, state: DispatchState, now_s: float) -> list[Outgoing]:
+    state['avoided_until_s'][message.host] = now_s + LINK_AVOIDED_S
+    state['owners'].clear()
+    return []
+
+
 @decide.register
 def _(
     message: WeightsChanged,
@@ -328,11 +349,37 @@
 def _find_owner(endpoint: str, state: DispatchState) -> str:
     owner = state['owners'].get(endpoint)
     if owner is None:
-        owner = routing.find_owner(endpoint, state['hosts'])
+        owner = routing.find_owner(endpoint, _list_owners(endpoint, state))
         state['owners'][endpoint] = owner
     return owner
 
 
+def _forget_avoided(state: DispatchState, now_s: float) -> None:
+    """Lets hosts own endpoints again whose link was down a while ago."""
+    for host, until_s in list(state['avoided_until_s'].items()):
+        if now_s >= until_s:
+            state['avoided_until_s'].pop(host)
+            state['owners'].clear()
+
+
+def _list_owners(endpoint: str, state: DispatchState) -> list[str]:
+    """Returns the hosts that may own an endpoint, if possible of its zone.
+
+    An owner in the zone of its endpoint saves a way between zones, and a zone
+    that is cut off still reaches its own endpoints.
+    """
+    linked = [
+        host for host in state['hosts'] if host not in state['avoided_until_s']
+    ]
+    place = state['places'].get(endpoint)
+    near = [
+        host
+        for host in linked
+        if place is not None and state['zones'].get(host) == place.zone
+    ]
+    return near or linked
+
+
 def _rank(state: DispatchState) -> list[Outgoing]:
     """Tells each failover task the rank of this host for its database."""
     outgoing: list[Outgoing] = []
--- a/poplarspoke/schema/dispatch.capnp
+++ b/poplarspoke/schema/dispatch.capnp
@@ -30,3 +30,8 @@
   # A fresh observation of an endpoint.
   view @0 :Membership.EndpointView;
 }
+
+struct LinkDown {
+  # The link to a host is down, so it cannot run statements for this host.
+  host @0 :Text;
+}
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -19,6 +19,7 @@
 )
 from poplarspoke.generated.dispatch import (
     EndpointObserved,
+    LinkDown,
     PlanStatement,
     StatementPlan,
 )
@@ -256,6 +257,32 @@
     assert outgoing[0].message.peers == ('h4',)
 
 
+def test_owner_is_in_the_zone_of_its_endpoint(dispatcher: Dispatcher) -> None:
+    """A zone that is cut off must reach its own endpoints by its own hosts."""
+    hosts = tuple(
+        HostStatus(host=f'h{number}', zone=f'z{number % 3 + 1}', live=True)
+        for number in range(9)
+    )
+    dispatcher.send(HostsChanged(hosts))
+    zones = {entry.host: entry.zone for entry in hosts}
+    assert zones[dispatcher.plan('write').owner] == 'z1'
+
+
+def test_broken_link_moves_the_owner_at_once(dispatcher: Dispatcher) -> None:
+    """A dead owner must not stop its endpoint until the membership sees it."""
+    hosts = (
+        HostStatus(host='h2', zone='z1', live=True),
+        HostStatus(host='h3', zone='z1', live=True),
+    )
+    dispatcher.send(HostsChanged(hosts))
+    owner = dispatcher.plan('write').owner
+    dispatcher.send(LinkDown(owner))
+    assert dispatcher.plan('write').owner in {'h2', 'h3'} - {owner}
+    dispatcher.now_s += dispatch.LINK_AVOIDED_S
+    dispatcher.send(Tick())
+    assert dispatcher.plan('write').owner == owner
+
+
 def test_own_observations_are_published_while_fresh(
     dispatcher: Dispatcher,
 ) -> None:
