Name database and term in the result of a lost commit

Cause: the host that a commit came to knows neither the database nor the term of its transaction, and a refused result did not name them, so the session was not marked after a commit with unknown outcome (R1). Remains: a commit whose answer is lost between two hosts names neither.

--- a/poplarspoke/execution.py
+++ b/poplarspoke/execution.py
@@ -14,7 +14,7 @@
     AwaitMajority,
     MajorityMissed,
 )
-from poplarspoke.generated.common import ErrorCode, Outcome, Refusal
+from poplarspoke.generated.common import ErrorCode, Outcome, Position, Refusal
 from poplarspoke.generated.connections import (
     Acquire,
     ConnectionLent,
@@ -325,10 +325,16 @@
 
 
 def refuse_result(statement: Statement, refusal: Refusal) -> StatementResult:
-    """Returns the result of a statement that was refused or is unknown."""
+    """Returns the result of a statement that was refused or is unknown.
+
+    It names the database and term, which the host that a commit came to does
+    not know and needs to mark the session.
+    """
     return StatementResult(
         request_id=statement.request_id,
         endpoint=statement.endpoint,
+        database=statement.database,
+        position=Position(statement.term, 0),
         transaction=statement.transaction,
         refused=True,
         refusal=refusal,
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -45,6 +45,11 @@
     return 'asyncio'
 
 
+def read_clock() -> float:
+    """Returns the time of a clock that stands still."""
+    return 0
+
+
 class FakeTask:
     """Answers each type of message by a rule; one without rule is late."""
 
@@ -125,7 +130,7 @@
     async def find_unit(name: str) -> execution.EndpointUnit | None:
         return endpoint if name == 'm1' else None
 
-    executor = execution.Executor('h1', find_unit, lambda: 0)
+    executor = execution.Executor('h1', find_unit, read_clock)
     return Unit(queue, pool, sockets, majority, executor)
 
 
@@ -152,6 +157,14 @@
     assert late.refusal.outcome is Outcome.UNKNOWN
 
 
+async def test_unknown_write_names_database_and_term(unit: Unit) -> None:
+    """The host of a commit knows them from this result only (R1)."""
+    unit.sockets.error = web.AnswerLostError('lost')
+    lost = await run(unit, database='db')
+    assert lost.database == 'db'
+    assert lost.position == Position(WRITE.term, 0)
+
+
 async def test_late_pool_after_answer_is_unknown(unit: Unit) -> None:
     """A pool that stopped meanwhile says nothing about the write (R10)."""
     unit.pool.rules.pop(EndExchange)
