--- a/poplarspoke/fleet.py
+++ b/poplarspoke/fleet.py
@@ -124,15 +124,26 @@
         command = ['poplarspoke', 'daemon', str(path)]
         await self._start(name, command, None)
 
-    async def kill(self, name: str, signum: signal.Signals = SIGKILL) -> None:
-        """Ends a process by its id and waits for its end."""
+    async def kill(self, name: str, signum: signal.Signals = SIGKILL) -> int:
+        """Ends a process by its id; returns its exit status."""
         process = self._processes.pop(name)
         if process.returncode is None:
             os.kill(process.pid, signal.SIGCONT)
             process.send_signal(signum)
         with anyio.CancelScope(shield=True):
-            await process.wait()
+            status = await process.wait()
             await process.aclose()
+        return status
+
+    async def wait(self, name: str) -> int:
+        """Waits until a process ends by itself; returns its exit status."""
+        process = self._processes.pop(name)
+        with anyio.fail_after(START_TIMEOUT_S):
+            return await process.wait()
+
+    def list_processes(self) -> list[str]:
+        """Returns the names of the processes that run."""
+        return list(self._processes)
 
     def issue_key(self, key_id: str) -> keys.IssuedKey:
         """Returns another key of the workspace; it is not in the settings."""
