Show the asked host among the hosts

Cause: the answer to ShowHosts listed other hosts only, so operators could not see the asked host and the commands that change settings did not wait for it. Change: the asked host comes first, with the version that it has in force.

--- a/poplarspoke/membership.py
+++ b/poplarspoke/membership.py
@@ -346,7 +346,7 @@
     now_s: float,
 ) -> list[Outgoing]:
     shown = HostsShown(
-        _describe_hosts(state, now_s),
+        (_describe_self(state), *_describe_hosts(state, now_s)),
         find_reachable_zones(state, now_s),
     )
     return [Reply(message.request_id, shown)]
@@ -639,6 +639,16 @@
     members[entry.name] = known._replace(leaving=True)
 
 
+def _describe_self(state: MembershipState) -> HostStatus:
+    return HostStatus(
+        host=state['host'],
+        zone=state['zone'],
+        live=True,
+        leaving=state['leaving'],
+        settings_version=state['freshness'].version,
+    )
+
+
 def _describe_hosts(
     state: MembershipState,
     now_s: float,
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -10,10 +10,12 @@
     EndpointView,
     Heartbeat,
     HostView,
+    HostsShown,
     LeaveFleet,
+    ShowHosts,
 )
 from poplarspoke.generated.platform import HostEntry, HostList
-from poplarspoke.tasks import ToHost, ToTask
+from poplarspoke.tasks import Reply, ToHost, ToTask
 from tests import fleet as fleets
 
 ZONES = 8
@@ -192,3 +194,17 @@
     fleet.cuts.clear()
     fleet.run(2)
     assert len(membership.list_live(state)) == 6
+
+
+def test_asked_host_shows_itself() -> None:
+    """Operators could not see whether a version is in force on that host."""
+    fleet = fleets.start_fleet()
+    state = fleet.states['ah0']['membership']
+    answer = membership.decide(ShowHosts('asked'), state, fleet.now_s)[0]
+    assert isinstance(answer, Reply)
+    assert isinstance(answer.message, HostsShown)
+    shown = {host.host: host for host in answer.message.hosts}
+    assert sorted(shown) == sorted(fleet.zone_of)
+    versions = {host.settings_version for host in shown.values()}
+    assert versions == {fleet.version('ah0')}
+    assert shown['ah0'].live
