Forget the numbers of connections that were closed

Cause: each close of a connection that had failed to open left its number in a set for ever; an endpoint that flaps would fill the memory of its owner. Change: only a number whose attempt to open is under way is kept, until that attempt ends. Ruled out: a close that overtakes the open; both are started in order and the open marks its number before it first waits. Failed first: test_closed_numbers_are_forgotten.

--- a/poplarspoke/sockets.py
+++ b/poplarspoke/sockets.py
@@ -33,6 +33,8 @@
         self._pool = pool
         self._post = post
         self._connections: dict[int, endpoints.EndpointConnection] = {}
+        self._opening: set[int] = set()
+        # Numbers whose attempt to open must not succeed any more.
         self._closed: set[int] = set()
         ends = anyio.create_memory_object_stream[Any](QUEUE_SIZE)
         self._inbox = ends[0]
@@ -84,12 +86,17 @@
 
     async def open(self, number: int) -> None:
         """Opens a connection and tells the pool what became of it."""
+        self._opening.add(number)
         try:
             connection = await endpoints.connect(self.address)
         except errors.PoplarspokeError:
+            self._closed.discard(number)
             self._post(self._pool, ConnectionClosed(number))
             return
+        finally:
+            self._opening.discard(number)
         if number in self._closed:
+            self._closed.discard(number)
             await connection.__aexit__()
             return
         self._connections[number] = connection
@@ -98,9 +105,9 @@
     async def close(self, number: int) -> None:
         """Closes a connection, or the attempt to open it."""
         connection = self._connections.pop(number, None)
-        if connection is None:
+        if number in self._opening:
             self._closed.add(number)
-        else:
+        elif connection is not None:
             await connection.__aexit__()
         self._post(self._pool, ConnectionClosed(number))
 
