--- a/bench/capacity_fleet.py
+++ b/bench/capacity_fleet.py
@@ -33,7 +33,7 @@
 LENGTH_S = 10.0
 STEP_S = 0.01
 BUDGET_S = 1.0
-RATE_SIZES = (8, 24, 50, 100)
+RATE_SIZES = (8, 24, 50, 100, 200, 410)
 # Requests a second of the one workspace; three quarters of its rate.
 LOAD = 300.0
 
