Keep only zones and databases in the drains

The drains kept a second copy of the whole settings document, of which the teams are the largest part and unused there.

--- a/poplarspoke/drains.py
+++ b/poplarspoke/drains.py
@@ -62,7 +62,7 @@
         zone: Zone of this host.
         subscribers: Tasks that learn the weights of endpoints.
         version: Settings version that the state is made from.
-        document: Its document.
+        document: Its zones and databases.
         served: Endpoints by name.
         moving: Names of those whose weight was below 1 at the last message.
         stale: Whether the published weights are those of an older ``served``.
@@ -153,7 +153,13 @@
     if message.snapshot.version <= state['version']:
         return
     state['version'] = message.snapshot.version
-    state['document'] = json.loads(message.snapshot.document)
+    document: Document = json.loads(message.snapshot.document)
+    # The teams are most of the document and are not needed here.
+    state['document'] = Document(
+        teams={},
+        zones=document.get('zones', {}),
+        databases=document.get('databases', {}),
+    )
     _update_served(state, now_s)
 
 
