Run failover and acknowledgement tasks only where they are needed

Cause: every daemon ran both tasks for every database. The ranks go through the daemon, which keeps them: before, a rank that came before the settings had created the task was lost.

--- a/poplarspoke/dispatch.py
+++ b/poplarspoke/dispatch.py
@@ -45,7 +45,8 @@
 from poplarspoke.generated.settings import Document, Route
 from poplarspoke.tasks import Outgoing, Reply, ToTask
 
-FAILOVER_TASK = 'failover'
+# The daemon runs failover tasks only where its rank lets it act.
+DAEMON_TASK = 'daemon'
 # The membership notices a dead host after 5 s; a broken link shows at once.
 LINK_AVOIDED_S = 1.0
 MEMBERSHIP_TASK = 'membership'
@@ -429,8 +430,8 @@
     peers = _list_peers(state)
     return [
         ToTask(
-            f'{FAILOVER_TASK}:{database}',
-            CandidateRank(state['ranks'][database], peers),
+            DAEMON_TASK,
+            CandidateRank(state['ranks'][database], peers, database),
         )
         for database in databases
     ]
@@ -444,17 +445,18 @@
     """Tells each failover task which endpoints must not keep a primary."""
     avoided: dict[str, AvoidEndpoints] = {}
     for entry in state['weights'].values():
-        known = avoided.setdefault(entry.database, AvoidEndpoints())
+        known = avoided.setdefault(
+            entry.database,
+            AvoidEndpoints(database=entry.database),
+        )
         if entry.weight > 0:
             continue
         avoided[entry.database] = AvoidEndpoints(
             (*known.endpoints, entry.endpoint),
             entry.reason,
+            entry.database,
         )
-    return [
-        ToTask(f'{FAILOVER_TASK}:{database}', message)
-        for database, message in avoided.items()
-    ]
+    return [ToTask(DAEMON_TASK, message) for message in avoided.values()]
 
 
 def _plan(
--- a/poplarspoke/owners.py
+++ b/poplarspoke/owners.py
@@ -14,7 +14,6 @@
     acknowledgements,
     attempts,
     connections,
-    dispatch,
     endpoints,
     failover,
     queues,
@@ -22,7 +21,12 @@
 )
 from poplarspoke.execution import EndpointUnit
 from poplarspoke.generated.dispatch import EndpointObserved
-from poplarspoke.generated.failover import CallEndpoint, EndpointAnswered
+from poplarspoke.generated.failover import (
+    AvoidEndpoints,
+    CallEndpoint,
+    CandidateRank,
+    EndpointAnswered,
+)
 from poplarspoke.generated.members import MemberStatus, Role
 from poplarspoke.generated.membership import EndpointView
 from poplarspoke.generated.settings import Database, Document
@@ -54,6 +58,8 @@
         self._document = Document(teams={})
         self._links: dict[LinkName, endpoints.ControlLink] = {}
         self._units: dict[str, EndpointUnit] = {}
+        self._ranks: dict[str, CandidateRank] = {}
+        self._avoided: dict[str, AvoidEndpoints] = {}
         self._group: TaskGroup
         self._stack = AsyncExitStack()
 
@@ -74,15 +80,36 @@
         """Starts the tasks of new databases; restarts those that changed."""
         before = self._document.get('databases', {})
         self._document = document
-        for name, database in document.get('databases', {}).items():
-            known = before.get(name)
-            if known and _list_places(known) == _list_places(database):
-                continue
-            self._stop_database(name)
-            self._start_database(name, database, now_s)
+        databases = document.get('databases', {})
         for name in before:
-            if name not in document.get('databases', {}):
+            if _differ(before[name], databases.get(name)):
                 self._stop_database(name)
+        for name in self._ranks:
+            self._start_failover(name, now_s)
+
+    def instruct(
+        self,
+        message: CandidateRank | AvoidEndpoints,
+        now_s: float,
+    ) -> None:
+        """Passes a message to a failover task, started once it may act.
+
+        A task for each of 630 databases would take 38% of a core, and a host
+        has one of the ranks that act for about 5 of them.
+        """
+        keep(message, self)
+        if not self._mesh.post(name_failover(message.database), message):
+            self._start_failover(message.database, now_s)
+
+    def keep_rank(self, message: CandidateRank) -> None:
+        """Remembers the rank of this host; stops a task that may not act."""
+        self._ranks[message.database] = message
+        if message.rank >= attempts.ACTING_RANKS:
+            self._stop_task(name_failover(message.database))
+
+    def keep_avoided(self, message: AvoidEndpoints) -> None:
+        """Remembers the endpoints that must not keep a primary."""
+        self._avoided[message.database] = message
 
     def call(self, task: str, endpoint: str, message: CallEndpoint) -> None:
         """Carries a control call of a task to an endpoint."""
@@ -102,12 +129,14 @@
                 return unit
         return None
 
-    def _start_database(
-        self,
-        name: str,
-        database: Database,
-        now_s: float,
-    ) -> None:
+    def _start_failover(self, name: str, now_s: float) -> None:
+        database = self._document.get('databases', {}).get(name)
+        rank = self._ranks.get(name)
+        task = name_failover(name)
+        if database is None or rank is None or task in self._mesh.tasks:
+            return
+        if rank.rank >= attempts.ACTING_RANKS:
+            return
         places = _list_places(database)
         state = attempts.create_state(
             self._host,
@@ -117,28 +146,44 @@
             listeners=('dispatch', 'daemon'),
             now_s=now_s,
         )
-        task = name_failover(name)
-        self._start(task, failover.decide, state, FAILOVER_TICK_S)
+        started = self._start(task, failover.decide, state, FAILOVER_TICK_S)
         self._open_links(task, name, places)
-        members = tuple(place.endpoint for place in places)
+        started.post(rank)
+        started.post(self._avoided.get(name, AvoidEndpoints(database=name)))
+
+    def _stop_database(self, name: str) -> None:
+        self._stop_task(name_failover(name))
+        self._stop_task(name_acknowledgements(name))
+        for endpoint, unit in list(self._units.items()):
+            if unit.database == name:
+                self._units.pop(endpoint)
+
+    def _find_acknowledgements(self, name: str, database: Database) -> Task:
+        """Returns the task that counts the majorities of a database.
+
+        It starts with the first statement, since its ticks for 630 databases
+        would take a whole core of each daemon.
+        """
         task = name_acknowledgements(name)
-        self._start(
+        known = self._mesh.tasks.get(task)
+        if known is not None:
+            return known
+        places = _list_places(database)
+        members = tuple(place.endpoint for place in places)
+        started = self._start(
             task,
             acknowledgements.decide,
             acknowledgements.create_state(name, members),
             ACKNOWLEDGEMENT_TICK_S,
         )
         self._open_links(task, name, places)
+        return started
 
-    def _stop_database(self, name: str) -> None:
-        for task in (name_failover(name), name_acknowledgements(name)):
-            self._mesh.stop(task)
-            stopped = [link for link in self._links if link.task == task]
-            for link in stopped:
-                self._links.pop(link).stop()
-        for endpoint, unit in list(self._units.items()):
-            if unit.database == name:
-                self._units.pop(endpoint)
+    def _stop_task(self, task: str) -> None:
+        self._mesh.stop(task)
+        stopped = [link for link in self._links if link.task == task]
+        for link in stopped:
+            self._links.pop(link).stop()
 
     def _start_endpoint(
         self,
@@ -173,7 +218,7 @@
             ),
             pool=self._start(pool, connections.decide, pool_state, POOL_TICK_S),
             sockets=sockets,
-            acknowledgements=self._mesh.tasks[name_acknowledgements(name)],
+            acknowledgements=self._find_acknowledgements(name, database),
         )
 
     def _start(self, name: str, decide: Any, state: Any, tick_s: float) -> Task:
@@ -210,9 +255,25 @@
             self._mesh.post('dispatch', EndpointObserved(view))
 
 
+@functools.singledispatch
+def keep(message: Any, owners: Owners) -> None:
+    """Remembers what a failover task must know when it starts."""
+    raise TypeError(f'{type(message).__name__} is not for a failover task')
+
+
+@keep.register
+def _(message: CandidateRank, owners: Owners) -> None:
+    owners.keep_rank(message)
+
+
+@keep.register
+def _(message: AvoidEndpoints, owners: Owners) -> None:
+    owners.keep_avoided(message)
+
+
 def name_failover(database: str) -> str:
     """Returns the name of the failover task of a database."""
-    return f'{dispatch.FAILOVER_TASK}:{database}'
+    return f'failover:{database}'
 
 
 def name_acknowledgements(database: str) -> str:
@@ -233,6 +294,13 @@
     )
 
 
+def _differ(before: Database, database: Database | None) -> bool:
+    """Returns whether the members of a database or their places differ."""
+    if database is None:
+        return True
+    return _list_places(before) != _list_places(database)
+
+
 def _list_places(database: Database) -> tuple[attempts.MemberPlace, ...]:
     return tuple(
         attempts.MemberPlace(
--- a/poplarspoke/schema/failover.capnp
+++ b/poplarspoke/schema/failover.capnp
@@ -52,12 +52,14 @@
   # Rendezvous rank of this host for a database, from the membership.
   rank @0 :UInt32;  # 0 acts first.
   peers @1 :List(Text);  # Hosts that hear of a new primary.
+  database @2 :Text;
 }
 
 struct AvoidEndpoints {
   # Endpoints that leave service and must not keep a primary.
   endpoints @0 :List(Text);
   evidence @1 :Text;  # Setting or report that asks for it.
+  database @2 :Text;
 }
 
 struct PrimaryAnnounced {
--- a/poplarspoke/wiring.py
+++ b/poplarspoke/wiring.py
@@ -18,7 +18,12 @@
     ShutdownFinished,
     StopAccepting,
 )
-from poplarspoke.generated.failover import FailoverReason, PrimaryAnnounced
+from poplarspoke.generated.failover import (
+    AvoidEndpoints,
+    CandidateRank,
+    FailoverReason,
+    PrimaryAnnounced,
+)
 from poplarspoke.generated.membership import (
     EndpointViews,
     Heartbeat,
@@ -169,6 +174,11 @@
     )
 
 
+@handle_message.register
+def _(message: CandidateRank | AvoidEndpoints, daemon: Daemon) -> None:
+    daemon.owners.instruct(message, daemon.now_s())
+
+
 @handle_message.register
 def _(message: SettingsFreshness, daemon: Daemon) -> None:
     confirmed_ago_s = daemon.now_s() - message.confirmed_at_s
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -205,8 +205,8 @@
     """A primary that stays on a leaving endpoint would be cut (R12)."""
     leaving = EndpointWeight('m1', DATABASE, 0, 'zone z1 leaves')
     outgoing = dispatcher.send(WeightsChanged((leaving,)))
-    avoid = AvoidEndpoints(('m1',), 'zone z1 leaves')
-    assert outgoing == [ToTask(f'failover:{DATABASE}', avoid)]
+    avoid = AvoidEndpoints(('m1',), 'zone z1 leaves', DATABASE)
+    assert outgoing == [ToTask('daemon', avoid)]
     assert dispatcher.plan('write').refused
 
 
