--- a/bench/capacity_control.py
+++ b/bench/capacity_control.py
@@ -77,6 +77,7 @@
 ALLOWED_SIZES = (63, 210, 400)
 WORKSPACE_SIZES = (168, 560, 1680)
 ROUNDS_OF_MEMBERSHIP = 4
+BEATS_OF_NEWS = 100
 
 
 class Heart:
@@ -179,6 +180,24 @@
     return Work(5, 5, 5 * len(body))
 
 
+def build_news(hosts: int) -> tuple[Any, Round]:
+    """A heartbeat that changes the status of its sender."""
+    heart = Heart(hosts)
+    beats = []
+    for number in range(BEATS_OF_NEWS):
+        beat = receive(heart.frames()[0])
+        beats.append(beat._replace(leaving=number % 2 == 0))
+    return heart.state, functools.partial(_run_news, heart, beats)
+
+
+def _run_news(heart: Any, beats: Any) -> Work:
+    for _ in range(10):
+        sent = membership.decide(beats.pop(0), heart.state, heart.now_s)
+        if len(sent) < 2:
+            raise ValueError('the status did not change')
+    return Work(10)
+
+
 def build_host_list(hosts: int) -> tuple[Any, Round]:
     """One answer of the platform's list, parsed from its JSON."""
     heart = Heart(hosts)
@@ -665,6 +684,7 @@
     Series(
         'membership heartbeats', 'hosts', 's', FLEET_SIZES, build_membership
     ),
+    Series('membership news', 'hosts', 'message', FLEET_SIZES, build_news),
     Series(
         'membership host list', 'hosts', 'list', FLEET_SIZES, build_host_list
     ),
