--- /dev/null
+++ b/bench/capacity_links.py
@@ -0,0 +1,109 @@
+"""Memory of idle tasks and of links between daemons.
+
+Run ``python -m bench.capacity_links``. A link counts with both ends, since
+they are in one process; so does each daemon, which has one to each peer and
+one from each.
+"""
+
+import gc
+import json
+import pathlib
+import tracemalloc
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeAlias
+
+import anyio
+
+from bench.capacity_measure import fit
+from bench.capacity_pairs import answer_at_once, create_mesh
+from poplarspoke.peers import Peers
+from poplarspoke.tasks import Task
+
+OUT = pathlib.Path('out/capacity')
+LINKS = (25, 50, 100)
+TASKS = (63, 210, 630)
+SECRET = b'secret of the bench, 32 bytes long'
+LOOPBACK = ('127.0.0.1', 0)
+NO_TICK_S = 3600.0
+Hold: TypeAlias = Callable[[int], Awaitable[int]]
+
+
+def read_heap() -> int:
+    """Returns the traced bytes after a collection."""
+    gc.collect()
+    return tracemalloc.get_traced_memory()[0]
+
+
+async def hold_tasks(count: int) -> int:
+    """Returns the growth of the heap by tasks that wait."""
+    mesh = create_mesh(float)
+    before = read_heap()
+    async with anyio.create_task_group() as group:
+        for number in range(count):
+            task = Task(str(number), answer_at_once, None, tick_s=NO_TICK_S)
+            mesh.start(task, group)
+        await anyio.sleep(0.2)
+        held = read_heap() - before
+        group.cancel_scope.cancel()
+    for ended in mesh.tasks.values():
+        ended.__exit__()
+    return held
+
+
+def ignore(sender: str, message: Any) -> None:
+    """Drops a message of a peer."""
+
+
+async def refuse(statement: Any) -> Any:
+    """Runs no statement."""
+    raise NotImplementedError('the bench forwards nothing')
+
+
+def create_peers(name: str) -> Peers:
+    """Returns the links of a daemon on a free port."""
+    return Peers(
+        name=name,
+        secret=SECRET,
+        listen=LOOPBACK,
+        on_message=ignore,
+        on_statement=refuse,
+    )
+
+
+async def hold_links(count: int) -> int:
+    """Returns the growth of the heap by links that are connected."""
+    async with create_peers('one') as server, create_peers('two') as client:
+        before = read_heap()
+        address = f'127.0.0.1:{server.port}'
+        names = [f'peer{number}' for number in range(count)]
+        client.set_addresses(dict.fromkeys(names, address))
+        while not all(client.is_connected(name) for name in names):
+            await anyio.sleep(0.05)
+        return read_heap() - before
+
+
+def measure(name: str, hold: Hold, counts: tuple[int, ...]) -> dict[str, Any]:
+    """Prints the growth for each count, and its slope."""
+    tracemalloc.start()
+    anyio.run(hold, counts[0])
+    held = [anyio.run(hold, count) for count in counts]
+    tracemalloc.stop()
+    slope = fit(
+        [float(count) for count in counts], [float(one) for one in held]
+    )
+    print(f'{name}: {counts} hold {held} bytes, {slope.slope:.0f} each')
+    return {'counts': counts, 'held': held, 'slope': slope._asdict()}
+
+
+def main() -> None:
+    """Prints both and writes them under ``out/capacity/``."""
+    OUT.mkdir(parents=True, exist_ok=True)
+    found = {
+        'tasks': measure('tasks', hold_tasks, TASKS),
+        'links': measure('links', hold_links, LINKS),
+    }
+    (OUT / 'links.json').write_text(json.dumps(found, indent=1))
+
+
+if __name__ == '__main__':
+    main()
