--- a/bench/capacity_pairs.py
+++ b/bench/capacity_pairs.py
@@ -33,6 +33,7 @@
 OUT = pathlib.Path('out/capacity')
 PAIRS = 9
 STATEMENTS = 400
+AT_ONCE = 40
 TASK_SECONDS = 3
 TASK_TICKS_S = (0.02, 0.1)
 TASK_COUNTS = (63, 210, 630)
@@ -89,6 +90,21 @@
     return (time.process_time() - started_s) / STATEMENTS
 
 
+async def run_many(mesh: Mesh, key: str) -> float:
+    """Returns the same with several statements under way at once."""
+    started_s = time.process_time()
+    async with anyio.create_task_group() as group:
+        for _ in range(AT_ONCE):
+            group.start_soon(_run_some, mesh, key)
+    return (time.process_time() - started_s) / STATEMENTS
+
+
+async def _run_some(mesh: Mesh, key: str) -> None:
+    result = paths.create_result()
+    for _ in range(STATEMENTS // AT_ONCE):
+        paths.forward(await _ask_path(mesh, key), result)
+
+
 async def run_one_task(mesh: Mesh) -> float:
     """Returns the time of a pass-through that asks one task once."""
     statement = paths.create_statement()
@@ -162,6 +178,7 @@
                 'decisions': run_decisions(path, key),
                 'one task': await run_one_task(mesh),
                 'tasks': await run_tasks(mesh, key),
+                'tasks, 40 at once': await run_many(mesh, key),
             }
             for name, time_s in row.items():
                 columns.setdefault(name, []).append(time_s)
--- a/bench/capacity_path.py
+++ b/bench/capacity_path.py
@@ -16,6 +16,7 @@
     connections,
     dispatch,
     keys,
+    metrics,
     queues,
     rates,
     shares,
@@ -37,7 +38,13 @@
 from poplarspoke.generated.keys import CheckKey
 from poplarspoke.generated.members import Confirmed
 from poplarspoke.generated.membership import EndpointViews
-from poplarspoke.generated.operators import RequestStep, RequestTrace
+from poplarspoke.generated.operators import (
+    AdmissionCounted,
+    ReadCounted,
+    RequestStep,
+    RequestTrace,
+    ServiceCounted,
+)
 from poplarspoke.generated.peers import PeerFrame
 from poplarspoke.generated.queues import Enqueue, Finish
 from poplarspoke.generated.rates import (
@@ -470,6 +477,22 @@
     )
 
 
+def _run_counts(names: Any, state: Any) -> Work:
+    for number in range(BATCH):
+        name = names[number % len(names)]
+        metrics.decide(AdmissionCounted(name, admitted=True), state, NOW_S)
+        metrics.decide(ServiceCounted('zone-0', name), state, NOW_S)
+        metrics.decide(ReadCounted(replica=True), state, NOW_S)
+    return Work(BATCH)
+
+
+def build_counts(workspaces: int) -> tuple[Any, Round]:
+    """What the metrics count for one statement."""
+    state = metrics.create_metrics()
+    names = [f'workspace-{index:04}' for index in range(workspaces)]
+    return state, functools.partial(_run_counts, names, state)
+
+
 def _run_tokens(token: Any) -> Work:
     for _ in range(BATCH):
         verified = tokens.verify(token, WORKSPACE, SECRETS)
@@ -542,6 +565,9 @@
         build_transaction_ticks,
     ),
     Series('path traces', 'kept', 'trace', (250, 500, 1000), build_traces),
+    Series(
+        'path metrics', 'workspaces', 'statement', (64, 128, 256), build_counts
+    ),
     Series('path tokens', 'positions', 'statement', (1, 4, 16), build_tokens),
     Series('path forward', 'parameters', 'statement', (1, 2, 8), build_forward),
 )
