Add the fault matrix: every fault at every step of the work

The matrix runs the decision code of several hosts on a virtual clock: the request path with the member's own decisions and the failover, the rates, and keys and settings. A cell injects one or two faults at a step, lets the system go on and checks the requirements of the work.

--- a/tests/failover_world.py
+++ b/tests/failover_world.py
@@ -41,6 +41,7 @@
     def __init__(self, seed: int = 0) -> None:
         """Creates 3 members in 3 zones, 3 hosts and an empty table."""
         self.now_s = 100.0
+        self.tick_s = TICK_S
         self.random = random.Random(seed)
         self.events: list[tuple[float, int, Act]] = []
         self.numbers = itertools.count(1)
@@ -108,7 +109,7 @@
 
     def tick(self, name: str) -> None:
         """Sends ticks to a process as long as the world exists."""
-        self.at(TICK_S, lambda: self.tick(name))
+        self.at(self.tick_s, lambda: self.tick(name))
         if name in self.paused:
             return
         if name in self.members:
--- /dev/null
+++ b/tests/fault_matrix.py
@@ -0,0 +1,144 @@
+"""Fault matrix: every fault at every step of every kind of work.
+
+A cell runs the decision code on a virtual clock, injects its faults at its
+step, lets the system go on and ends the faults. It holds if no requirement
+that concerns the work was seen broken.
+"""
+
+import itertools
+import random
+import zlib
+from collections.abc import Callable, Mapping
+from typing import Any, NamedTuple
+
+from poplarspoke import invariants
+from tests import matrix_control, matrix_rates, matrix_requests
+
+SEED = 20261
+PAIR_CELLS = 160
+GAPS_S = (0, 0.3, 1.0, 2.5)
+HOLDS = 'holds'
+NOT_APPLICABLE = 'not applicable'
+BROKEN = 'broken'
+FAULTS = {
+    'cut': 'primary cut off from its group',
+    'behind': 'replicas far behind',
+    'dies': 'daemon dies',
+    'revoked': 'key revoked',
+    'down': 'store down',
+    'slow': 'store slow',
+    'lost': "store's answer lost after the effect",
+    'paused': 'lease expires while its holder is paused',
+    'conflict': 'operators submit conflicting changes',
+    'silent': 'open connections silent for good',
+}
+NO_MEMBER = 'no database member takes part in this work'
+NO_KEY = 'rates are counted for a workspace and do not depend on keys'
+
+
+class Area(NamedTuple):
+    """Kinds of work that run in one kind of world.
+
+    Attributes:
+        run: Runs a cell; raises if a requirement is broken.
+        faults: Faults that the world can inject.
+        reasons: Why the other faults do not apply.
+    """
+
+    run: Callable[[str, str, tuple[str, ...], float, int], None]
+    faults: Mapping[str, Any]
+    reasons: Mapping[str, str]
+
+
+class Kind(NamedTuple):
+    """A kind of work with its steps and the requirements that concern it."""
+
+    area: Area
+    steps: tuple[str, ...]
+    codes: tuple[str, ...]
+
+
+class Cell(NamedTuple):
+    """One cell; two faults come one after the other, ``gap_s`` apart."""
+
+    kind: str
+    step: str
+    faults: tuple[str, ...]
+    gap_s: float = 0
+
+    @property
+    def name(self) -> str:
+        """Name of the cell, also in the test's id."""
+        gap = f' {self.gap_s}s' if len(self.faults) > 1 else ''
+        return f'{self.kind}/{self.step}/{"+".join(self.faults)}{gap}'
+
+
+class Verdict(NamedTuple):
+    """What a cell ended with; ``detail`` is a reason or what broke."""
+
+    verdict: str
+    detail: str = ''
+
+
+REQUESTS = Area(matrix_requests.run, matrix_requests.FAULTS, {})
+RATES = Area(
+    matrix_rates.run,
+    matrix_rates.FAULTS,
+    {'cut': NO_MEMBER, 'behind': NO_MEMBER, 'revoked': NO_KEY},
+)
+CONTROL = Area(
+    matrix_control.run,
+    matrix_control.FAULTS,
+    {'cut': NO_MEMBER, 'behind': NO_MEMBER},
+)
+KINDS = {
+    **{
+        name: Kind(REQUESTS, kind.steps, kind.codes)
+        for name, kind in matrix_requests.KINDS.items()
+    },
+    'rate share': Kind(RATES, matrix_rates.STEPS, matrix_rates.CODES),
+    **{
+        name: Kind(CONTROL, matrix_control.STEPS, codes)
+        for name, codes in matrix_control.CODES.items()
+    },
+}
+
+
+def list_single_cells() -> list[Cell]:
+    """Returns the cells with one fault, also those that do not apply."""
+    steps = [
+        (name, step) for name, kind in KINDS.items() for step in kind.steps
+    ]
+    return [
+        Cell(name, step, (fault,)) for name, step in steps for fault in FAULTS
+    ]
+
+
+def list_pair_cells() -> list[Cell]:
+    """Returns a fixed sample of the cells with two faults.
+
+    Every ordered pair, a fault twice included, appears for every kind of work
+    as far as the number of cells allows; steps and gaps are drawn.
+    """
+    rng = random.Random(SEED)
+    drawn = [
+        Cell(name, rng.choice(kind.steps), pair, rng.choice(GAPS_S))
+        for name, kind in KINDS.items()
+        for pair in itertools.product(kind.area.faults, repeat=2)
+    ]
+    rng.shuffle(drawn)
+    return sorted(drawn[:PAIR_CELLS])
+
+
+def run_cell(cell: Cell) -> Verdict:
+    """Runs a cell and returns its verdict."""
+    kind = KINDS[cell.kind]
+    for fault in cell.faults:
+        if fault not in kind.area.faults:
+            return Verdict(NOT_APPLICABLE, kind.area.reasons[fault])
+    seed = zlib.crc32(cell.name.encode())
+    try:
+        kind.area.run(cell.kind, cell.step, cell.faults, cell.gap_s, seed)
+    except (invariants.InvariantError, AssertionError) as exc:
+        return Verdict(BROKEN, str(exc))
+    return Verdict(HOLDS)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -67,6 +67,7 @@
         self.store_down = False
         self.lost_answers = 0
         self.link_delay_s = LINK_S
+        self.store_delay_s = STORE_S
         self.replies: dict[str, Any] = {}
         self.accepted_at_s: dict[int, float] = {}
         self.revoked_at_s: dict[str, float] = {}
@@ -218,7 +219,7 @@
             self.lost_answers -= 1
             self.post(STORE_LIMIT_S, event.host, event.task, lost)
             return
-        self.post(STORE_S, event.host, event.task, reply.message)
+        self.post(self.store_delay_s, event.host, event.task, reply.message)
 
     def _note_accepted(self) -> None:
         rows = self.table['rows']
--- /dev/null
+++ b/tests/matrix_requests.py
@@ -0,0 +1,384 @@
+"""Cells of the fault matrix on the request path, the failover and shutdown."""
+
+import functools
+from collections.abc import Callable
+from typing import TypeAlias
+
+from poplarspoke import invariants
+from poplarspoke.generated import members as schema
+from poplarspoke.generated.common import Outcome
+from poplarspoke.generated.drains import BeginShutdown
+from poplarspoke.generated.requests import TransactionStep
+from tests.courses import Caller
+from tests.failover_world import HOSTS, MEMBERS, ZONES
+from tests.request_world import RequestWorld, cut_primary_off
+
+START_S = 1.5
+PAUSE_S = 5.5
+OUTAGE_S = 3.0
+AFTER_S = 6.2
+HEALED_S = 2.0
+SERVES_AGAIN_S = 10.0
+TURN_S = 0.5
+TRACKED = 'tracked'
+Inject: TypeAlias = Callable[[RequestWorld, str], None]
+
+
+def kill(world: RequestWorld, host: str) -> None:
+    """Kills a daemon; a new one starts without any state."""
+    if host not in world.daemons:
+        return
+    world.kill(host)
+
+    def start() -> None:
+        if host not in world.daemons:
+            world.restart(host)
+
+    world.at(OUTAGE_S, start)
+
+
+def delay_replicas(world: RequestWorld, host: str) -> None:
+    """Lets the replicas take no log entries for a time."""
+    primary = world.find_primary()
+
+    def end(member: str) -> Callable[[], None]:
+        return lambda: world.tell_member(member, schema.MemberFaults())
+
+    for member in MEMBERS:
+        if member == primary:
+            continue
+        world.tell_member(member, schema.MemberFaults(far_behind=True))
+        world.at(OUTAGE_S, end(member))
+
+
+def revoke(world: RequestWorld, host: str) -> None:
+    """Revokes the key of the caller."""
+    world.revoke()
+
+
+def stop_store(world: RequestWorld, host: str) -> None:
+    """Stops the table until all faults end."""
+    world.store_delay_s = 1000
+
+
+def slow_store(world: RequestWorld, host: str) -> None:
+    """Makes the table slow until all faults end."""
+    world.store_delay_s = 1.5
+
+
+def lose_store_answers(world: RequestWorld, host: str) -> None:
+    """Loses the answers of the table after their effect for a time."""
+    world.store_loses_answers = True
+
+    def end() -> None:
+        world.store_loses_answers = False
+
+    world.at(2.0, end)
+
+
+def pause(world: RequestWorld, host: str) -> None:
+    """Pauses a daemon for longer than its settings stay confirmed."""
+    if host not in world.daemons:
+        return
+    world.pause(host)
+
+    def resume() -> None:
+        if host in world.paused:
+            world.resume(host)
+
+    world.at(PAUSE_S, resume)
+
+
+def change_settings(world: RequestWorld, host: str) -> None:
+    """Two operators take two zones out; one of them gives way."""
+    zone = ZONES[world.find_primary()]
+    other = min(set(ZONES.values()) - {zone})
+    world.serve_zone(zone, in_service=False)
+    world.serve_zone(other, in_service=False)
+    world.at(0.5, lambda: world.serve_zone(other, in_service=True))
+
+
+def silence(world: RequestWorld, host: str) -> None:
+    """Makes every open connection of the pools silent for good."""
+    for daemon in world.daemons.values():
+        world.silent.update(daemon.sockets)
+
+
+FAULTS: dict[str, Inject] = {
+    'cut': cut_primary_off,
+    'behind': delay_replicas,
+    'dies': kill,
+    'revoked': revoke,
+    'down': stop_store,
+    'slow': slow_store,
+    'lost': lose_store_answers,
+    'paused': pause,
+    'conflict': change_settings,
+    'silent': silence,
+}
+
+
+class Work:
+    """Callers that do one kind of work while faults come."""
+
+    def __init__(self, world: RequestWorld) -> None:
+        """Starts a session that has written once."""
+        self.world = world
+        self.caller = Caller(world, 'tracked')
+        self.other = Caller(world, 'other')
+        self.turn = 0
+        self.caller.send('h1', 'before', 'recorded', text='ADD n 1')
+        world.run(0.4)
+        assert self.caller.acknowledged == {'before'}
+
+    def host(self) -> str:
+        """Returns the next host, since callers roam."""
+        return HOSTS[self.turn % len(HOSTS)]
+
+    def wait(self) -> None:
+        """Waits for the answer, at most for the caller's deadline."""
+        for _ in range(20):
+            if not self.caller.busy:
+                return
+            self.world.run(0.25)
+
+    def go_on(self) -> None:
+        """Repeats what has no outcome yet; reads and writes otherwise."""
+        end_s = self.world.now_s + AFTER_S
+        while self.world.now_s < end_s:
+            self.turn += 1
+            if not self.other.busy:
+                name = f'other{self.turn}'
+                self.other.send(self.host(), name, 'recorded', text='ADD n 1')
+            if not self.caller.busy:
+                self.take_turn()
+            self.world.run(TURN_S)
+
+    def take_turn(self) -> None:
+        """Reads in the session on the next host."""
+        route = 'strict' if self.turn % 2 else 'read'
+        self.caller.send(self.host(), f'read{self.turn}', route)
+
+    def repeat(self, route: str) -> bool:
+        """Repeats the tracked write while its outcome is not known."""
+        outcomes = self.caller.outcomes.get(TRACKED, [])
+        is_done = TRACKED in self.caller.acknowledged
+        if is_done or not outcomes or outcomes[-1] is Outcome.NOT_RUN:
+            return False
+        self.caller.send(self.host(), TRACKED, route, text='ADD n 1')
+        return True
+
+
+class Read(Work):
+    """A read in a session, on a replica if possible."""
+
+    route = 'read'
+
+    def start(self) -> None:
+        """Sends the tracked read to another host than the write."""
+        self.caller.send('h2', TRACKED, self.route)
+
+
+class StrictRead(Read):
+    """A read that a majority confirms."""
+
+    route = 'strict'
+
+
+class RecordedWrite(Work):
+    """A write that is repeated until its outcome is known."""
+
+    route = 'recorded'
+
+    def start(self) -> None:
+        """Sends the tracked write."""
+        self.caller.send('h2', TRACKED, self.route, text='ADD n 1')
+
+    def take_turn(self) -> None:
+        """Repeats the write, then reads."""
+        if not self.repeat(self.route):
+            super().take_turn()
+
+
+class NeverWrite(RecordedWrite):
+    """A write that the system sends once."""
+
+    route = 'never'
+
+
+class Transaction(Work):
+    """Begin, a statement and the commit, each on another host."""
+
+    def start(self) -> None:
+        """Runs the steps; a lost one ends the sequence."""
+        steps = (
+            (TransactionStep.BEGIN, 'h2', 'GET n'),
+            (TransactionStep.INSIDE, 'h3', 'ADD n 1'),
+            (TransactionStep.COMMIT, 'h1', ''),
+        )
+        for step, host, text in steps:
+            self.caller.send(host, TRACKED, 'recorded', step=step, text=text)
+            self.wait()
+            if self.caller.busy or self.caller.outcomes.get(TRACKED):
+                return
+
+    def take_turn(self) -> None:
+        """Repeats an undecided commit, then reads."""
+        outcomes = self.caller.outcomes.get(TRACKED, [])
+        is_done = TRACKED in self.caller.acknowledged
+        if is_done or not outcomes or outcomes[-1] is Outcome.NOT_RUN:
+            super().take_turn()
+            return
+        self.caller.send(
+            self.host(), TRACKED, 'recorded', step=TransactionStep.COMMIT
+        )
+
+
+class Failover(Work):
+    """The primary stops; callers write and read meanwhile."""
+
+    def start(self) -> None:
+        """Pauses the primary until all faults end."""
+        self.world.tracked = 'failover'
+        self.world.pause(self.world.find_primary())
+
+    def take_turn(self) -> None:
+        """Writes and reads in turn."""
+        if self.turn % 3:
+            super().take_turn()
+            return
+        name = f'write{self.turn}'
+        self.caller.send(self.host(), name, 'recorded', text='ADD n 1')
+
+
+class Shutdown(Work):
+    """A host leaves while a transaction and a read are open on it."""
+
+    def start(self) -> None:
+        """Opens work on the host, then asks it to shut down."""
+        world = self.world
+        world.tracked = 'shutdown'
+        self.caller.send('h2', TRACKED, 'recorded', step=TransactionStep.BEGIN)
+        self.wait()
+        daemon = world.daemons['h2']
+        world.tell(daemon, 'drains', BeginShutdown())
+        self.caller.send(
+            'h2',
+            TRACKED,
+            'recorded',
+            step=TransactionStep.INSIDE,
+            text='ADD n 1',
+        )
+        world.reach('begun', 'h2', 'shutdown')
+        world.at(1.0, lambda: world.reach('waiting', 'h2', 'shutdown'))
+        self.wait()
+        world.run(2.5)
+        world.reach('draining', 'h2', 'shutdown')
+        self.caller.send('h3', TRACKED, 'recorded', step=TransactionStep.COMMIT)
+        self.wait()
+        world.run(2)
+
+
+class Kind:
+    """A kind of work: how it runs, its steps and its requirements."""
+
+    def __init__(
+        self, work: type[Work], steps: tuple[str, ...], codes: tuple[str, ...]
+    ) -> None:
+        """Keeps the parts."""
+        self.work = work
+        self.steps = steps
+        self.codes = codes
+
+
+ENTRY = ('key check', 'plan', 'forward')
+OWNER = ('acquire', 'execute', 'answered')
+SESSION = ('R1', 'R4', 'R5', 'R6', 'R8', 'R9', 'R12')
+WRITE = ('R1', 'R2', 'R3', 'R5', 'R6', 'R8', 'R9', 'R10', 'R11', 'R12')
+KINDS = {
+    'read': Kind(Read, (*ENTRY, *OWNER, 'reply'), SESSION),
+    'strict read': Kind(
+        StrictRead, (*ENTRY, *OWNER, 'confirm', 'reply'), SESSION
+    ),
+    'recorded write': Kind(
+        RecordedWrite, (*ENTRY, *OWNER, 'confirm', 'reply'), WRITE
+    ),
+    'never write': Kind(
+        NeverWrite, (*ENTRY, *OWNER, 'confirm', 'reply'), WRITE
+    ),
+    'transaction': Kind(
+        Transaction,
+        (
+            'begin: acquire',
+            'begin: execute',
+            'begin: answered',
+            'inside: forward',
+            'inside: execute',
+            'inside: answered',
+            'commit: forward',
+            'commit: execute',
+            'commit: answered',
+            'commit: confirm',
+            'commit: reply',
+        ),
+        WRITE,
+    ),
+    'failover': Kind(
+        Failover,
+        ('suspect', 'claim', 'adopt', 'promote', 'announce'),
+        ('R1', 'R2', 'R10', 'R11'),
+    ),
+    'shutdown': Kind(
+        Shutdown,
+        ('begun', 'waiting', 'finishing', 'draining', 'finished'),
+        ('R2', 'R3', 'R10', 'R11', 'R12', 'R13'),
+    ),
+}
+
+
+def run(
+    kind: str, step: str, faults: tuple[str, ...], gap_s: float, seed: int
+) -> None:
+    """Runs one cell; raises if a requirement does not hold."""
+    world = RequestWorld(seed)
+    world.run(START_S)
+    work = KINDS[kind].work(world)
+    injected: list[str] = []
+
+    def on_step(reached: str, host: str) -> None:
+        if reached != step or injected:
+            return
+        injected.extend(faults)
+        world.at(0, lambda: FAULTS[faults[0]](world, host))
+        for fault in faults[1:]:
+            world.at(gap_s, functools.partial(FAULTS[fault], world, host))
+
+    world.on_step = on_step
+    world.tracked = TRACKED
+    work.start()  # type: ignore[attr-defined]
+    work.go_on()
+    assert injected, f'{kind} never reached {step}'
+    settle(world, (work.caller, work.other))
+
+
+def settle(world: RequestWorld, callers: tuple[Caller, ...]) -> None:
+    """Ends all faults; the group must serve, and every answer be true."""
+    world.heal()
+    world.run(HEALED_S)
+    last = Caller(world, 'last')
+    end_s = world.now_s + SERVES_AGAIN_S
+    number = 0
+    while world.now_s < end_s and not last.acknowledged:
+        number += 1
+        if not last.busy:
+            host = HOSTS[number % len(HOSTS)]
+            last.send(host, f'last{number}', 'recorded', text='ADD n 1')
+        world.run(0.5)
+    invariants.check(
+        holds=bool(last.acknowledged),
+        code='service',
+        detail=f'no write {SERVES_AGAIN_S} s after the faults ended',
+    )
+    world.run(1)
+    for caller in (*callers, last):
+        caller.check_final()
