Run the request path under two faults at a time and test acknowledgements

Sessions roam between hosts while up to two faults are at work; every answer is compared with the final log. Four tests break a rule on purpose, so that the world is known to see a lost acknowledgement, a stale read, a second send and an untrue refusal.

--- /dev/null
+++ b/tests/test_request_path.py
@@ -0,0 +1,209 @@
+"""Guards sessions, acknowledgements and repeats under two faults at a time."""
+
+import os
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
+
+from poplarspoke import invariants, majorities, retries, sessions
+from poplarspoke.generated.common import Outcome, Position
+from poplarspoke.generated.requests import TransactionStep
+from poplarspoke.generated.retries import Attempt
+from tests import matrix_requests, request_world
+from tests.courses import Caller
+from tests.failover_world import HOSTS, MEMBERS
+from tests.request_world import RequestWorld
+
+CALLERS = 3
+MAX_FAULTS = 2
+hosts = st.sampled_from(HOSTS)
+numbers = st.integers(0, CALLERS - 1)
+waits = st.sampled_from((0.005, 0.02, 0.1, 0.5, 1.5, 4.0))
+
+
+class RequestMachine(RuleBasedStateMachine):
+    """Callers roam between hosts while up to two faults are at work.
+
+    The world asserts R1, R2, R9 and R11 as messages arrive; ``teardown`` ends
+    the faults and compares every answer with the final log.
+    """
+
+    def __init__(self) -> None:
+        """Starts a group that serves."""
+        super().__init__()
+        self.world = RequestWorld()
+        self.world.run(matrix_requests.START_S)
+        self.callers = [
+            Caller(self.world, f'c{number}') for number in range(CALLERS)
+        ]
+        self.faults = 0
+        self.number = 0
+        self.last = ['' for _ in range(CALLERS)]
+
+    @rule(number=numbers, host=hosts, route=st.sampled_from(('read', 'strict')))
+    def read(self, number: int, host: str, route: str) -> None:
+        """Reads in a session."""
+        self.number += 1
+        self.callers[number].send(host, f'r{self.number}', route)
+
+    @rule(
+        number=numbers,
+        host=hosts,
+        route=st.sampled_from(('recorded', 'never')),
+        wait_s=waits,
+    )
+    def write(self, number: int, host: str, route: str, wait_s: float) -> None:
+        """Writes anew and waits, perhaps for less than the answer takes."""
+        self.number += 1
+        self.last[number] = f'{route}{self.number}'
+        self.send_write(number, host)
+        self.world.run(wait_s)
+
+    def send_write(self, number: int, host: str) -> None:
+        """Sends the last write of a caller."""
+        name = self.last[number]
+        self.callers[number].send(
+            host, name, name.rstrip('0123456789'), text='ADD n 1'
+        )
+
+    @precondition(lambda machine: any(machine.last))
+    @rule(number=numbers, host=hosts)
+    def repeat(self, number: int, host: str) -> None:
+        """Repeats the last write, also while the first one still runs."""
+        if self.last[number]:
+            self.send_write(number, host)
+
+    @rule(number=numbers, host=hosts)
+    def transact(self, number: int, host: str) -> None:
+        """Begins a transaction, writes in it and commits on another host."""
+        caller = self.callers[number]
+        self.number += 1
+        name = f'tx{self.number}'
+        steps = (
+            (TransactionStep.BEGIN, host, 'GET n'),
+            (TransactionStep.INSIDE, HOSTS[self.number % 3], 'ADD n 1'),
+            (TransactionStep.COMMIT, HOSTS[(self.number + 1) % 3], ''),
+        )
+        for step, target, text in steps:
+            caller.send(target, name, 'recorded', text=text, step=step)
+            self.world.run(0.3)
+            if (name, step) not in caller.done:
+                return
+
+    @rule(wait_s=waits)
+    def wait(self, wait_s: float) -> None:
+        """Lets time pass."""
+        self.world.run(wait_s)
+
+    @precondition(lambda machine: machine.faults < MAX_FAULTS)
+    @rule(
+        fault=st.sampled_from(
+            sorted(set(matrix_requests.FAULTS) - {'revoked'}),
+        ),
+        host=hosts,
+        wait_s=waits,
+    )
+    def inject(self, fault: str, host: str, wait_s: float) -> None:
+        """Injects a fault."""
+        self.faults += 1
+        matrix_requests.FAULTS[fault](self.world, host)
+        self.world.run(wait_s)
+
+    @precondition(lambda machine: machine.faults < MAX_FAULTS)
+    @rule(host=hosts)
+    def write_to_lost_primary(self, host: str) -> None:
+        """Cuts the primary off with a host that goes on writing to it."""
+        self.faults += 1
+        request_world.cut_primary_off(self.world, host)
+        for number in range(CALLERS):
+            self.write(number, host, 'recorded', 0.1)
+
+    @precondition(lambda machine: machine.faults)
+    @rule()
+    def heal(self) -> None:
+        """Ends all faults."""
+        self.faults = 0
+        self.world.heal()
+        self.world.run(0.5)
+
+    def teardown(self) -> None:
+        """Every answer must be true in the end, and the group serve."""
+        matrix_requests.settle(self.world, tuple(self.callers))
+
+
+LONG = bool(os.environ.get('SOAK'))
+RequestMachine.TestCase.settings = settings(
+    max_examples=1000 if LONG else 25,
+    stateful_step_count=30,
+    deadline=None,
+)
+TestRequests = RequestMachine.TestCase
+
+
+def run_scenario(fault: str, seed: int = 3) -> None:
+    """Runs a write whose primary is cut off when it has executed it."""
+    matrix_requests.run('recorded write', 'answered', (fault,), 0, seed)
+
+
+def test_world_sees_lost_acknowledgement(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards the world: an answer without a majority must break R2."""
+    monkeypatch.setattr(majorities, 'is_acknowledged', accept_always)
+    with pytest.raises((AssertionError, invariants.InvariantError)):
+        run_scenario('cut')
+
+
+def accept_always(
+    position: Position, primary: str, confirmations: object, members: object
+) -> bool:
+    """Acknowledges without a confirmation."""
+    return True
+
+
+def test_world_sees_stale_read(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards the world: reads that ignore the session must break R1."""
+
+    def satisfy(*_positions: Position, primary: bool = False) -> bool:
+        return True
+
+    monkeypatch.setattr(sessions, 'satisfies', satisfy)
+    world = RequestWorld()
+    world.run(matrix_requests.START_S)
+    matrix_requests.delay_replicas(world, 'h1')
+    world.cuts.add(frozenset((MEMBERS[0], MEMBERS[2])))
+    replicas = [name for name in MEMBERS if name != world.find_primary()]
+    # One replica takes entries, so that the write gets its majority.
+    world.tell_member(replicas[0], request_world.schema.MemberFaults())
+    caller = Caller(world, 'c')
+    caller.send('h1', 'w', 'recorded', text='ADD n 1')
+    world.run(1)
+    assert caller.acknowledged == {'w'}
+    with pytest.raises(invariants.InvariantError, match='R1'):
+        for number, host in enumerate(HOSTS * 3):
+            caller.send(host, f'r{number}', 'read')
+            world.run(0.2)
+
+
+def test_world_sees_second_send(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards the world: a retry of a write that may have run breaks R11."""
+
+    def repeat_always(_attempt: Attempt) -> bool:
+        return True
+
+    monkeypatch.setattr(retries, '_is_repeatable', repeat_always)
+    with pytest.raises(invariants.InvariantError, match='R11'):
+        matrix_requests.run('never write', 'execute', ('silent',), 0, 1)
+
+
+def test_world_sees_untrue_refusal(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards the world: "not run" for a lost answer must break R10."""
+
+    def not_run(_attempt: Attempt) -> Outcome:
+        return Outcome.NOT_RUN
+
+    monkeypatch.setattr(retries, 'find_outcome', not_run)
+    with pytest.raises(invariants.InvariantError, match='R10'):
+        matrix_requests.run('never write', 'answered', ('behind',), 0, 1)
--- a/tools/matrix.py
+++ b/tools/matrix.py
@@ -115,7 +115,7 @@
     if known:
         parts.append('## Known faults\n\nFrom `KNOWN-RED.txt`:')
         parts.append('\n'.join(known))
-    return '\n\n'.join(parts) + '\n'
+    return '\n\n'.join((*parts, ''))[:-1]
 
 
 def main(arguments: list[str]) -> int:
