Assert R1, R6, R8, R10, R11 and R13 where decisions are made

The session of the matrix now writes between its reads, with one replica behind longer than the other: without that, reads that ignored the session passed.

--- a/poplarspoke/drains.py
+++ b/poplarspoke/drains.py
@@ -8,6 +8,7 @@
 import json
 from typing import Any, NamedTuple, TypedDict
 
+from poplarspoke import invariants
 from poplarspoke.generated.common import Tick
 from poplarspoke.generated.configuration import SettingsInForce
 from poplarspoke.generated.drains import (
@@ -304,6 +305,12 @@
     open_work = sum(state['work'].values())
     if open_work and waited_s < GRACE_S:
         return []
+    invariants.check(
+        holds=not open_work or waited_s >= GRACE_S,
+        code='R13',
+        detail=f'the host would leave {open_work} requests after '
+        f'{waited_s:.1f} s',
+    )
     state['phase'] = ShutdownPhase.FINISHED
     outgoing: list[Outgoing] = [
         ToTask('rates', ReleaseLeases()),
--- a/poplarspoke/keys.py
+++ b/poplarspoke/keys.py
@@ -223,6 +223,11 @@
         code='R4',
         detail=f'key {record.key_id} accepted for {message.workspace}',
     )
+    invariants.check(
+        holds=not record.revoked and record.key_id not in state['doubtful'],
+        code='R6',
+        detail=f'key {record.key_id} accepted after its revocation',
+    )
     return accepted
 
 
--- a/poplarspoke/retries.py
+++ b/poplarspoke/retries.py
@@ -6,7 +6,7 @@
 import math
 from typing import NamedTuple
 
-from poplarspoke import errors
+from poplarspoke import errors, invariants
 from poplarspoke.generated.common import ErrorCode, Outcome, Refusal
 from poplarspoke.generated.requests import Repeat, TransactionStep
 from poplarspoke.generated.retries import (
@@ -85,6 +85,13 @@
         return Spending(RetryPlan(reason=NoRetryReason.DEADLINE), budget)
     if budget.tokens < 1:
         return Spending(RetryPlan(reason=NoRetryReason.BUDGET_SPENT), budget)
+    invariants.check(
+        holds=attempt.repeat is not Repeat.NEVER
+        or attempt.step is TransactionStep.BEGIN
+        or not may_have_run(attempt),
+        code='R11',
+        detail='a statement that may have run would be sent again',
+    )
     plan = RetryPlan(retry=True, delay_s=delay_s)
     return Spending(plan, budget._replace(tokens=budget.tokens - 1))
 
@@ -144,6 +151,11 @@
         plan: Why it is not followed by another one.
     """
     outcome = find_outcome(attempt)
+    invariants.check(
+        holds=outcome is not Outcome.NOT_RUN or not may_have_run(attempt),
+        code='R10',
+        detail=f'{attempt.kind.name} would be reported as not run',
+    )
     detail = attempt.refusal.message or attempt.kind.name.lower()
     why = plan.reason.name.lower()
     return errors.refuse(
--- a/poplarspoke/routing.py
+++ b/poplarspoke/routing.py
@@ -9,7 +9,7 @@
 
 import xxhash
 
-from poplarspoke import sessions
+from poplarspoke import invariants, sessions
 from poplarspoke.generated.common import Position
 from poplarspoke.generated.routing import (
     Candidate,
@@ -43,6 +43,31 @@
         query: What the statement requires.
         candidates: All endpoints of the database.
     """
+    choice = _choose(query, candidates)
+    for candidate in candidates:
+        if candidate.view.endpoint == choice.endpoint:
+            _check_choice(query, candidate)
+    return choice
+
+
+def _check_choice(query: RouteQuery, candidate: Candidate) -> None:
+    """Asserts what a chosen endpoint must fulfil."""
+    endpoint = candidate.view.endpoint
+    invariants.check(
+        holds=candidate.in_service,
+        code='R8',
+        detail=f'{endpoint} is chosen and out of service',
+    )
+    invariants.check(
+        holds=candidate.view.primary
+        or (not query.write and candidate.view.last >= query.required),
+        code='R1',
+        detail=f'{endpoint} at {candidate.view.last} is chosen for '
+        f'{query.required}',
+    )
+
+
+def _choose(query: RouteQuery, candidates: Candidates) -> RouteChoice:
     if query.write:
         return _choose_primary(query, candidates, RouteReason.PRIMARY_FOR_WRITE)
     if query.max_age_s <= 0:
--- a/tests/fault_matrix.py
+++ b/tests/fault_matrix.py
@@ -80,6 +80,11 @@
     detail: str = ''
 
 
+# Cells that longer runs found broken once.
+FOUND_CELLS = (
+    Cell('key revocation', 'in force on one host', ('down', 'dies')),
+    Cell('strict read', 'execute', ('conflict', 'paused')),
+)
 REQUESTS = Area(matrix_requests.run, matrix_requests.FAULTS, {})
 RATES = Area(
     matrix_rates.run,
@@ -116,7 +121,7 @@
 
 def list_pair_cells() -> list[Cell]:
     """Returns a fixed sample of the cells with two faults."""
-    return draw_pair_cells(SEED, PAIR_CELLS)
+    return sorted({*draw_pair_cells(SEED, PAIR_CELLS), *FOUND_CELLS})
 
 
 def draw_pair_cells(seed: int, count: int) -> list[Cell]:
--- a/tests/matrix_requests.py
+++ b/tests/matrix_requests.py
@@ -16,6 +16,7 @@
 START_S = 1.5
 PAUSE_S = 5.5
 OUTAGE_S = 3.0
+CATCH_UP_S = 0.8
 AFTER_S = 5.8
 HEALED_S = 1.5
 SERVES_AGAIN_S = 10.0
@@ -38,17 +39,19 @@
 
 
 def delay_replicas(world: RequestWorld, host: str) -> None:
-    """Lets the replicas take no log entries for a time."""
+    """Lets the replicas take no log entries; one catches up early.
+
+    With one replica, writes get their majority while the other is behind.
+    """
     primary = world.find_primary()
 
     def end(member: str) -> Callable[[], None]:
         return lambda: world.tell_member(member, schema.MemberFaults())
 
-    for member in MEMBERS:
-        if member == primary:
-            continue
+    replicas = [member for member in MEMBERS if member != primary]
+    for member, end_s in zip(replicas, (CATCH_UP_S, OUTAGE_S), strict=True):
         world.tell_member(member, schema.MemberFaults(far_behind=True))
-        world.at(OUTAGE_S, end(member))
+        world.at(end_s, end(member))
 
 
 def revoke(world: RequestWorld, host: str) -> None:
@@ -155,8 +158,12 @@
             self.world.run(TURN_S)
 
     def take_turn(self) -> None:
-        """Reads in the session on the next host."""
-        route = 'strict' if self.turn % 2 else 'read'
+        """Writes and reads in the session on the next host."""
+        if self.turn % 3 == 1:
+            name = f'write{self.turn}'
+            self.caller.send(self.host(), name, 'recorded', text='ADD n 1')
+            return
+        route = 'strict' if self.turn % 3 else 'read'
         self.caller.send(self.host(), f'read{self.turn}', route)
 
     def repeat(self, route: str) -> bool:
@@ -242,14 +249,6 @@
         self.world.tracked = 'failover'
         self.world.pause(self.world.find_primary())
 
-    def take_turn(self) -> None:
-        """Writes and reads in turn."""
-        if self.turn % 3:
-            super().take_turn()
-            return
-        name = f'write{self.turn}'
-        self.caller.send(self.host(), name, 'recorded', text='ADD n 1')
-
 
 class Shutdown(Work):
     """A host leaves while a transaction and a read are open on it."""
--- a/tests/test_request_path.py
+++ b/tests/test_request_path.py
@@ -7,14 +7,14 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
 
-from poplarspoke import invariants, majorities, retries, sessions
+from poplarspoke import invariants, majorities, retries, routing, sessions
 from poplarspoke.generated.common import Outcome, Position
 from poplarspoke.generated.members import MemberFaults
 from poplarspoke.generated.requests import TransactionStep
 from poplarspoke.generated.retries import Attempt
 from tests import matrix_requests, request_world
 from tests.courses import Caller
-from tests.failover_world import HOSTS, MEMBERS
+from tests.failover_world import HOSTS, MEMBERS, ZONES
 from tests.request_world import RequestWorld
 
 CALLERS = 3
@@ -207,4 +207,26 @@
 
     monkeypatch.setattr(retries, 'find_outcome', not_run)
     with pytest.raises(invariants.InvariantError, match='R10'):
-        matrix_requests.run('never write', 'forward', ('behind',), 0, 1)
+        matrix_requests.run('never write', 'answered', ('cut',), 0, 1)
+
+
+def test_paused_owner_runs_no_old_work() -> None:
+    """Guards R8: work that waited out a pause of its owner is new work."""
+    world = RequestWorld()
+    world.run(matrix_requests.START_S)
+    world.tracked = 'old'
+    caller = Caller(world, 'c')
+    primary = world.find_primary()
+    owner = routing.find_owner(primary, HOSTS)
+    entry = next(host for host in HOSTS if host != owner)
+
+    def pause_owner(step: str, host: str) -> None:
+        if step == 'forward':
+            world.pause(owner)
+            world.serve_zone(ZONES[primary], in_service=False)
+
+    world.on_step = pause_owner
+    caller.send(entry, 'old', 'never', text='ADD n 1')
+    world.run(matrix_requests.PAUSE_S)
+    world.resume(owner)
+    world.run(1)
