--- a/poplarspoke/changes.py
+++ b/poplarspoke/changes.py
@@ -8,6 +8,7 @@
 import difflib
 import functools
 import json
+import math
 import re
 from collections.abc import Iterator
 from typing import Any, NamedTuple, NoReturn, TypeAlias
@@ -206,7 +207,11 @@
 
 def _read_content(change: ChangeSettings) -> Node:
     try:
-        return json.loads(change.content)
+        return json.loads(
+            change.content,
+            parse_float=_read_finite,
+            parse_constant=_read_finite,
+        )
     except (ValueError, RecursionError):
         _refuse(
             split_path(change.path),
@@ -216,6 +221,14 @@
         )
 
 
+def _read_finite(text: str) -> float:
+    """Returns a number; the schema's limits let NaN pass."""
+    number = float(text)
+    if math.isfinite(number):
+        return number
+    raise ValueError(f'{text} is no finite number')
+
+
 def _put(document: Document, path: Path, content: Node) -> Any:
     """Returns a copy of the document with a value put, or removed for None."""
     changed: Node = copy.deepcopy(document)
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -160,3 +160,13 @@
         [sys.executable, '-c', code], capture_output=True, check=True
     )
     assert done.stdout.strip() == b'False'
+
+
+@pytest.mark.parametrize('name', ['rate', 'burst'])
+@pytest.mark.parametrize('text', ['Infinity', 'NaN', '1e400', '1e308'])
+def test_number_without_bound_is_refused(name: str, text: str) -> None:
+    """Such a rate ended every daemon, and again after each restart."""
+    path = f'teams/red/workspaces/w1/{name}'
+    asked = change(path, 1, 'red')._replace(content=text)
+    with pytest.raises(errors.SettingsError):
+        changes.apply_change(DOCUMENT, asked)
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -244,6 +244,26 @@
         )
         assert steps.read_value(read) == '1'
 
+    @pytest.mark.parametrize('rate', ['Infinity', 'NaN', '1e400', '1e308'])
+    async def test_rate_without_bound_leaves_daemons_working(
+        self,
+        shared: fleet.Fleet,
+        rate: str,
+    ) -> None:
+        """One accepted change ended every daemon, also after a restart."""
+        change = ChangeSettings(
+            change_id=f'rate-{rate}',
+            path=RATE_PATH,
+            team=fleet.TEAM,
+            content=rate,
+            who=WHO['who'],
+            why=WHO['why'],
+        )
+        response = await shared.ask_operator(SFAX, 'POST', '/changes', change)
+        assert response.status == 422
+        for host in HOSTS:
+            assert await steps.is_ready(shared, host)
+
     async def test_no_output_shows_a_secret(self, shared: fleet.Fleet) -> None:
         """A key that reaches a member or a log is open to its readers."""
         caller = fleet.Caller(shared)
