--- a/poplarspoke/fleet.py
+++ b/poplarspoke/fleet.py
@@ -234,7 +234,7 @@
         }
 
     def describe_settings(self) -> dict[str, Any]:
-        """Returns the settings document of the fleet by path."""
+        """Returns the settings document of the fleet."""
         endpoints = {
             name: {
                 'zone': zone,
@@ -264,8 +264,8 @@
                     'endpoints': endpoints,
                 },
             },
-            f'teams/{TEAM}': {
-                'workspaces': {WORKSPACE: self._describe_workspace()},
+            'teams': {
+                TEAM: {'workspaces': {WORKSPACE: self._describe_workspace()}},
             },
         }
 
@@ -302,16 +302,16 @@
             await self.start_host(name)
         for name in self.hosts:
             await self._wait_for_version(name, 0)
-        for path, content in self.describe_settings().items():
-            version = await self.change(
-                path,
-                content,
-                who='demo',
-                why='first settings of the demonstration',
-            )
-            # A host that skips a version cannot tell whether the list of hosts
-            # is the first one, and has no own share of the rates for 16 s.
-            await self.wait_in_force(version)
+        # One change, since a host that skips a version cannot tell whether the
+        # list of hosts is the first one, and has no own share of the rates for
+        # 16 s.
+        version = await self.change(
+            '',
+            self.describe_settings(),
+            who='demo',
+            why='first settings of the demonstration',
+        )
+        await self.wait_in_force(version)
 
     async def _start(
         self,
