--- /dev/null
+++ b/bench/passthrough.py
@@ -0,0 +1,77 @@
+"""A pass-through in the daemon's frame: the least that a proxy can do.
+
+``python -m bench.passthrough PORT MEMBER_ADDRESS TERM`` answers callers'
+requests by ``web.HttpServer`` and forwards each to the member over a kept
+connection, without key, rate, routing, queue, session or confirmation.
+"""
+
+import json
+import sys
+
+import anyio
+
+from poplarspoke import callers, web
+from poplarspoke.generated.members import Execute, MemberAnswer
+from poplarspoke.generated.requests import CallerAnswer
+
+LOOPBACK = '127.0.0.1'
+WRITE_ROUTE = 'release'
+
+
+class PassThrough:
+    """Forwards requests to one member over kept connections."""
+
+    def __init__(self, address: str, term: int) -> None:
+        """Takes the member's address and the term of its writes."""
+        self._address = address
+        self._term = term
+        self._idle: list[web.HttpConnection] = []
+
+    async def handle(self, request: web.Request) -> web.Response:
+        """Forwards one request and returns the member's answer."""
+        asked = callers.parse_request(request)
+        write = asked.route == WRITE_ROUTE
+        execute = Execute(
+            request_id=asked.request_id,
+            workspace=asked.workspace,
+            term=self._term if write else 0,
+            text=asked.text,
+            parameters=asked.parameters,
+            write=write,
+            record=write,
+        )
+        if self._idle:
+            connection = self._idle.pop()
+        else:
+            connection = await web.connect(self._address)
+        response = await connection.send(
+            web.Request('POST', '/execute', body=web.write_json(execute)),
+            timeout_s=asked.budget_s,
+        )
+        self._idle.append(connection)
+        answer = web.read_json(MemberAnswer, response.body)
+        return callers.render_answer(
+            CallerAnswer(
+                request_id=asked.request_id,
+                rows=answer.rows,
+                refused=answer.refused,
+                refusal=answer.refusal,
+            ),
+        )
+
+
+async def serve(port: int, address: str, term: int) -> None:
+    """Serves until the process is ended."""
+    server = web.HttpServer(
+        PassThrough(address, term).handle,
+        host=LOOPBACK,
+        port=port,
+    )
+    async with server:
+        sys.stdout.write(f'ready {json.dumps(server.port)}\n')
+        sys.stdout.flush()
+        await anyio.sleep_forever()
+
+
+if __name__ == '__main__':
+    anyio.run(serve, int(sys.argv[1]), sys.argv[2], int(sys.argv[3]))
--- a/bench/queues.py
+++ b/bench/queues.py
@@ -83,11 +83,14 @@
         return granted
 
 
-def create_arrivals(rates: dict[str, float]) -> list[Arrival]:
+def create_arrivals(
+    rates: dict[str, float],
+    seed: int = SEED,
+) -> list[Arrival]:
     """Returns Poisson arrivals with exponential service times."""
     arrivals = []
     for workspace, rate in rates.items():
-        source = random.Random(f'{SEED} {workspace}')
+        source = random.Random(f'{seed} {workspace}')
         time_s = source.expovariate(rate)
         while time_s < DURATION_S:
             service_s = source.expovariate(1 / SERVICE_S)
--- /dev/null
+++ b/bench/replica_reads.py
@@ -0,0 +1,201 @@
+"""Share of reads that replicas serve, with and without positions on answers.
+
+Two fleets of the same code stand side by side, one with the positions of
+answers left out; each pair of runs has the same seed, and the order within a
+pair alternates. Primary only is the first fleet on a route that tolerates no
+staleness.
+"""
+
+from typing import NamedTuple
+
+import anyio
+
+from bench import stage, variants
+from poplarspoke import fleet
+from poplarspoke.generated.load import LoadResult
+from poplarspoke.generated.members import MemberFaults
+from poplarspoke.standins.load import LoadRoute, Plan
+
+LAGS_S = (0, 0.02, 0.2)
+STALENESS = {'fresh': 0.2, 'catalogue': 2, 'relaxed': 10}
+PRIMARY_ROUTE = 'stock'
+PRIMARY_ONLY = 'primary-only'
+DURATION_S = 2.0
+RATE = 120.0
+READ_SHARE = 4
+SESSIONS = 16
+
+
+class Cell(NamedTuple):
+    """One combination that is measured."""
+
+    lag_s: float
+    route: str
+
+
+class Sample(NamedTuple):
+    """One run of one variant in one cell."""
+
+    cell: Cell
+    variant: str
+    seed: int
+    replica_share: float
+    p50_ms: float
+    p99_ms: float
+    found: LoadResult
+
+
+async def measure() -> stage.Table:
+    """Measures every cell with all variants."""
+    samples: list[Sample] = []
+    async with (
+        stage.open_fleet(variants.SHIPPED) as shipped,
+        stage.open_fleet(variants.NO_PIGGYBACK) as silent,
+    ):
+        for local in (shipped, silent):
+            await _add_routes(local)
+        for lag_s in LAGS_S:
+            for either in (shipped, silent):
+                faults = MemberFaults(lag_s=lag_s)
+                await stage.set_member_faults(either, faults)
+            await anyio.sleep(stage.SETTLE_S)
+            for seed in stage.SEEDS:
+                found = await _measure_seed(shipped, silent, lag_s, seed)
+                samples.extend(found)
+    return _tabulate(samples)
+
+
+async def _add_routes(local: fleet.Fleet) -> None:
+    workspace = f'teams/{fleet.TEAM}/workspaces/{fleet.WORKSPACE}'
+    version = 0
+    for route, max_age_s in STALENESS.items():
+        version = await local.change(
+            f'{workspace}/routes/{route}',
+            fleet.describe_route(max_age_s=max_age_s),
+            who='bench',
+            why='a tolerated staleness of the measurement',
+        )
+    await local.wait_in_force(version)
+
+
+async def _measure_seed(
+    shipped: fleet.Fleet,
+    silent: fleet.Fleet,
+    lag_s: float,
+    seed: int,
+) -> list[Sample]:
+    samples = []
+    for route in STALENESS:
+        pair = [(variants.SHIPPED, shipped), (variants.NO_PIGGYBACK, silent)]
+        if seed % 2:
+            pair.reverse()
+        for variant, local in pair:
+            cell = Cell(lag_s, route)
+            samples.append(await _run(local, cell, variant, seed))
+    cell = Cell(lag_s, PRIMARY_ROUTE)
+    samples.append(await _run(shipped, cell, PRIMARY_ONLY, seed))
+    return samples
+
+
+async def _run(
+    local: fleet.Fleet,
+    cell: Cell,
+    variant: str,
+    seed: int,
+) -> Sample:
+    routes = (
+        stage.WRITE,
+        LoadRoute(cell.route, READ_SHARE, write=False),
+    )
+    tenant = stage.create_tenant(local, RATE, routes, sessions=SESSIONS)
+    plan = Plan(
+        tenants=(tenant,),
+        hosts=tuple(local.hosts),
+        duration_s=DURATION_S,
+        seed=seed,
+        run=f'{cell.lag_s}-{cell.route}-{seed}',
+    )
+    found = await stage.load_fleet(local, plan)
+    reads = next(one for one in found.routes if one.route == cell.route)
+    served = max(reads.served.requests, 1)
+    return Sample(
+        cell=cell,
+        variant=variant,
+        seed=seed,
+        replica_share=reads.replica / served,
+        p50_ms=reads.served.p50_ms,
+        p99_ms=reads.served.p99_ms,
+        found=found,
+    )
+
+
+def _tabulate(samples: list[Sample]) -> stage.Table:
+    rows = []
+    for lag_s in LAGS_S:
+        for route in (*STALENESS, PRIMARY_ROUTE):
+            rows.extend(_list_rows(samples, Cell(lag_s, route)))
+    return stage.Table(
+        name='replica reads',
+        setting=(
+            f'{RATE:.0f} requests a second, 4 reads for each write, 3 hosts, '
+            f'{SESSIONS} roaming sessions, {DURATION_S:.0f} s for each run, '
+            f'seeds {stage.SEEDS}; median [lowest, highest] of the runs, '
+            'ratios of the pairs.'
+        ),
+        columns=(
+            'lag ms',
+            'staleness s',
+            'variant',
+            'reads by replicas %',
+            'ratio to no-piggyback',
+            'read p50 ms',
+            'read p99 ms',
+            'violations',
+            'not served',
+        ),
+        rows=rows,
+        raw=[one._replace(found=_shorten(one.found)) for one in samples],
+    )
+
+
+def _shorten(found: LoadResult) -> LoadResult:
+    return found._replace(seconds=())
+
+
+def _list_rows(samples: list[Sample], cell: Cell) -> list[list[str]]:
+    rows = []
+    groups: dict[str, list[Sample]] = {}
+    for sample in samples:
+        if sample.cell == cell:
+            groups.setdefault(sample.variant, []).append(sample)
+    base = groups.get(variants.NO_PIGGYBACK, [])
+    for variant, group in sorted(groups.items(), reverse=True):
+        ratio = '-'
+        if variant == variants.SHIPPED:
+            ratio = _compare(group, base)
+        results = [one.found for one in group]
+        shares = [one.replica_share * 100 for one in group]
+        rows.append(
+            [
+                f'{cell.lag_s * 1000:.0f}',
+                f'{STALENESS.get(cell.route, 0)}',
+                variant,
+                stage.collect(shares).show(),
+                ratio,
+                stage.collect([one.p50_ms for one in group]).show(),
+                stage.collect([one.p99_ms for one in group]).show(),
+                stage.count_violations(results),
+                stage.list_codes(results),
+            ],
+        )
+    return rows
+
+
+def _compare(group: list[Sample], base: list[Sample]) -> str:
+    ratios = []
+    for one, other in zip(group, base, strict=True):
+        if other.replica_share:
+            ratios.append(one.replica_share / other.replica_share)
+    if not ratios:
+        return 'none'
+    return stage.collect(ratios).show(2)
--- /dev/null
+++ b/bench/variants.py
@@ -0,0 +1,68 @@
+"""Runs a daemon of the shipped code with one behaviour switched off.
+
+``python -m bench.variants VARIANT daemon FILE``. The switch stands here and
+not in the package, since no operator should be able to set it.
+"""
+
+import cProfile
+import functools
+import os
+import signal
+import sys
+from collections.abc import Callable
+from types import FrameType
+
+from poplarspoke import core, courses
+from poplarspoke.generated.membership import EndpointView
+from poplarspoke.generated.requests import Statement, StatementResult
+
+SHIPPED = 'shipped'
+NO_PIGGYBACK = 'no-piggyback'
+PROFILE = 'profile'
+PROFILE_FILE = 'POPLARSPOKE_BENCH_PROFILE'
+
+
+def list_no_views(
+    statement: Statement,
+    outcome: StatementResult,
+) -> tuple[EndpointView, ...]:
+    """Leaves out what an answer says about the endpoints."""
+    return ()
+
+
+def drop_piggyback() -> None:
+    """Makes hosts learn positions from heartbeats only."""
+    courses.list_views = list_no_views
+
+
+def start_profile() -> None:
+    """Profiles the daemon until SIGUSR1 writes the profile to a file."""
+    profile = cProfile.Profile()
+    signal.signal(signal.SIGUSR1, functools.partial(write_profile, profile))
+    profile.enable()
+
+
+def write_profile(
+    profile: cProfile.Profile,
+    _signum: int,
+    _frame: FrameType | None,
+) -> None:
+    """Ends the profile and writes it."""
+    profile.disable()
+    profile.dump_stats(f'{os.environ[PROFILE_FILE]}.{os.getpid()}')
+
+
+def keep() -> None:
+    """Changes nothing."""
+
+
+VARIANTS: dict[str, Callable[[], None]] = {
+    SHIPPED: keep,
+    NO_PIGGYBACK: drop_piggyback,
+    PROFILE: start_profile,
+}
+
+
+if __name__ == '__main__':
+    VARIANTS[sys.argv.pop(1)]()
+    sys.exit(core.main())
