--- /dev/null
+++ b/bench/capacity_sizes.py
@@ -0,0 +1,110 @@
+"""Sizes of the settings document and of messages at the target.
+
+Run ``python -m bench.capacity_sizes``. The last lines are trials on one
+heartbeat: without some of its parts, packed, and compressed.
+"""
+
+import collections
+import json
+import zlib
+from typing import Any
+
+from bench import capacity_world as worlds
+from bench.capacity_control import Heart
+from poplarspoke import attempts, codec, membership, records, routing, wire
+from poplarspoke.changes import MAX_DOCUMENT_CHARACTERS
+from poplarspoke.generated.common import Tick
+from poplarspoke.generated.configuration import ChangeRecord
+from poplarspoke.generated.failover import FailoverReason, PrimaryAnnounced
+from poplarspoke.generated.peers import PeerFrame
+from poplarspoke.generated.rates import (
+    BorrowTokens,
+    LeasePromised,
+    LendTokens,
+    PromiseLease,
+)
+from poplarspoke.tasks import ToHost
+
+EVIDENCE = (
+    'database-000-m0 gave no answer to 2 probes; database-000-m1 has not heard '
+    'it for 1.2 s, database-000-m2 has not heard it for 1.3 s'
+)
+MESSAGES = (
+    PrimaryAnnounced(
+        'h000.z0',
+        'database-000',
+        worlds.TERM,
+        'database-000-m1',
+        FailoverReason.PRIMARY_LOST,
+        EVIDENCE,
+    ),
+    BorrowTokens('h000.z0', 1, 'workspace-0000', 5, 1),
+    LendTokens('h000.z0', 1, 'workspace-0000', 5, 1, 3),
+    PromiseLease('h000.z0', 1, 1),
+    LeasePromised('h000.z0', 1, 1, 1, promised=True),
+)
+
+
+def count_frame(message: Any) -> int:
+    """Returns the bytes of a message on a link."""
+    payload = codec.encode(PeerFrame(1, message))
+    return len(payload) + wire.LENGTH_BYTES
+
+
+def print_document() -> None:
+    """Prints the settings document of the target and what fits."""
+    world = worlds.create_world(worlds.HOSTS, worlds.DATABASES)
+    document = worlds.create_document(world)
+    text = json.dumps(document, sort_keys=True)
+    teams = len(json.dumps(document['teams'], sort_keys=True))
+    each = teams / len(world.workspaces)
+    room = MAX_DOCUMENT_CHARACTERS - len(text) + teams
+    commit = records.create_commit(ChangeRecord(version=1), text)
+    row = next(
+        write for write in commit.writes if write.key == records.DOCUMENT_KEY
+    )
+    print(f'document: {len(text)} characters, {each:.0f} for each workspace')
+    print(f'workspaces that fit: {int(room / each)}')
+    print(f'row of the document: {len(row.content)} bytes')
+    print(f'frame: {count_frame(worlds.create_snapshot(world))} bytes')
+
+
+def print_acting() -> None:
+    """Prints for how many databases a host has one of the first ranks."""
+    world = worlds.create_world(worlds.HOSTS, worlds.DATABASES)
+    acting: collections.Counter[str] = collections.Counter()
+    for database in world.databases:
+        ranked = routing.rank_hosts(database, world.hosts)
+        acting.update(ranked[: attempts.ACTING_RANKS])
+    print(f'databases that a host acts for: {max(acting.values())} at most')
+
+
+def print_heartbeat() -> None:
+    """Prints the parts of a heartbeat and trials of other encodings."""
+    heart = Heart(worlds.HOSTS)
+    sent = membership.decide(Tick(), heart.state, heart.now_s + 1)
+    beat = next(out.message for out in sent if isinstance(out, ToHost))
+    without_hosts = beat._replace(hosts=())
+    print(f'heartbeat: {count_frame(beat)} bytes')
+    print(f'without host views: {count_frame(without_hosts)}')
+    print(f'without endpoint views: {count_frame(beat._replace(endpoints=()))}')
+    print(f'without both: {count_frame(without_hosts._replace(endpoints=()))}')
+    frame = codec.encode(PeerFrame(1, beat))
+    with codec.load_struct(PeerFrame).from_bytes(frame) as reader:
+        packed = reader.as_builder().to_bytes_packed()
+    print(f'trial, packed: {len(packed) + wire.LENGTH_BYTES}')
+    small = zlib.compress(frame, 1)
+    print(f'trial, zlib level 1: {len(small) + wire.LENGTH_BYTES}')
+
+
+def main() -> None:
+    """Prints all sizes."""
+    print_document()
+    print_acting()
+    for message in MESSAGES:
+        print(f'{type(message).__name__}: {count_frame(message)} bytes')
+    print_heartbeat()
+
+
+if __name__ == '__main__':
+    main()
