--- a/tests/request_world.py
+++ b/tests/request_world.py
@@ -1,7 +1,7 @@
 """Requests of callers over several hosts, on a virtual clock and network.
 
 The members and the failover are those of ``failover_world``. Each host has the
-decision modules of the request path; ``courses`` joins them as the proxy does.
+decision modules of the request path; ``request_course`` joins them as the proxy does.
 The invariants are checked whenever a message shows something of them.
 """
 
