--- a/poplarspoke/routing.py
+++ b/poplarspoke/routing.py
@@ -46,11 +46,11 @@
     choice = _choose(query, candidates)
     for candidate in candidates:
         if candidate.view.endpoint == choice.endpoint:
-            _check_choice(query, candidate)
+            _check_choice(candidate)
     return choice
 
 
-def _check_choice(query: RouteQuery, candidate: Candidate) -> None:
+def _check_choice(candidate: Candidate) -> None:
     """Asserts what a chosen endpoint must fulfil."""
     endpoint = candidate.view.endpoint
     invariants.check(
@@ -58,13 +58,6 @@
         code='R8',
         detail=f'{endpoint} is chosen and out of service',
     )
-    invariants.check(
-        holds=candidate.view.primary
-        or (not query.write and candidate.view.last >= query.required),
-        code='R1',
-        detail=f'{endpoint} at {candidate.view.last} is chosen for '
-        f'{query.required}',
-    )
 
 
 def _choose(query: RouteQuery, candidates: Candidates) -> RouteChoice:
--- a/poplarspoke/sessions.py
+++ b/poplarspoke/sessions.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Iterable
 
+from poplarspoke import invariants
 from poplarspoke.generated.common import DatabasePosition, Position
 from poplarspoke.generated.sessions import Session
 
@@ -41,6 +42,11 @@
     unknown = required.position == UNKNOWN_POSITION
     if not unknown or required.term > position.term:
         return merge_position(positions, database, position)
+    invariants.check(
+        holds=position.term >= required.term,
+        code='R1',
+        detail=f'{position} would replace {required} of {database}',
+    )
     merged = {entry.database: entry.position for entry in positions}
     merged[database] = position
     return _sort_positions(merged.items())
