--- a/poplarspoke/routing.py
+++ b/poplarspoke/routing.py
@@ -48,34 +48,18 @@
     choice = _choose(query, candidates)
     for candidate in candidates:
         if candidate.view.endpoint == choice.endpoint:
-            _check_choice(query, candidate, choice.reason)
+            _check_choice(candidate)
     return choice
 
 
-def _check_choice(
-    query: RouteQuery,
-    candidate: Candidate,
-    reason: RouteReason,
-) -> None:
-    """Asserts what a chosen endpoint must fulfil.
-
-    Only a replica that is guessed to have caught up may be behind in its view;
-    ``accepts`` checks what it answers.
-    """
+def _check_choice(candidate: Candidate) -> None:
+    """Asserts what a chosen endpoint must fulfil."""
     endpoint = candidate.view.endpoint
     invariants.check(
         holds=candidate.in_service,
         code='R8',
         detail=f'{endpoint} is chosen and out of service',
     )
-    invariants.check(
-        holds=candidate.view.primary
-        or (not query.write and candidate.view.last >= query.required)
-        or reason is RouteReason.LIKELY_REPLICA,
-        code='R1',
-        detail=f'{endpoint} at {candidate.view.last} is chosen for '
-        f'{query.required}',
-    )
 
 
 def _choose(query: RouteQuery, candidates: Candidates) -> RouteChoice:
