--- a/poplarspoke/dispatch.py
+++ b/poplarspoke/dispatch.py
@@ -195,7 +195,7 @@
     state: DispatchState,
     now_s: float,
 ) -> list[Outgoing]:
-    if message.snapshot.version <= state['version']:
+    if message.snapshot.version < state['version']:
         return []
     document: Document = json.loads(message.snapshot.document)
     state['version'] = message.snapshot.version
@@ -203,7 +203,7 @@
     state['places'] = list_places(document)
     state['endpoints'] = _list_endpoints(state['places'])
     state['owners'].clear()
-    return _rank(state)
+    return [*_rank(state), *_avoid(state)]
 
 
 @decide.register
