--- a/bench/stage.py
+++ b/bench/stage.py
@@ -148,13 +148,13 @@
     issued: dict[str, str] = {}
     version = 0
     for name in names:
-        key = keys.create_key(f'k-{name}', name, fleet.KEY_SECRET)
+        key = keys.create_key(f'k{name}', name, fleet.KEY_SECRET)
         issued[name] = key.key
         record = {'digest': key.record.digest, 'revoked': False}
         content = {
             'rate': AMPLE,
             'burst': AMPLE,
-            'keys': {f'k-{name}': record},
+            'keys': {f'k{name}': record},
             'routes': routes,
         }
         version = await local.change(
