--- a/bench/request_cost.py
+++ b/bench/request_cost.py
@@ -223,7 +223,7 @@
         name='cost of one request',
         setting=(
             f'{RATE:.0f} requests a second, {SESSIONS} sessions, '
-            f'{DURATION_S:.0f} s for each run, seeds {stage.SEEDS}; the '
+            f'{DURATION_S} s for each run, seeds {stage.SEEDS}; the '
             'pass-through asks the primary and confirms nothing.'
         ),
         columns=(
