Ask the primary after a replica was too old; bound a silent exchange

Change: a plan after a replica's rejected answer picks the primary.

Cause 2: a silent connection used up the caller's deadline; the failover gap was 4.05 s with a 4 s deadline. A statement that may be repeated gets a third of the time that is left, 0.5 s at least.

Cause 3: a shutdown did not wait for statements that other hosts had forwarded. They are counted as open work now.

test_paused_owner_runs_no_old_work computed the owner over all hosts, so since owners are taken from the zone of the endpoint it paused another host and could not fail.

--- a/poplarspoke/courses.py
+++ b/poplarspoke/courses.py
@@ -36,6 +36,7 @@
         number: Attempts so far.
         unknown: Whether an attempt may have run without a known outcome.
         waited_s: Time that it waited for a replica.
+        primary_only: Whether the next plan must pick the primary.
         settings_version: Version that the last plan was made by.
         steps: What was decided, for ``explain``.
     """
@@ -49,6 +50,7 @@
     number: int
     unknown: bool
     waited_s: float
+    primary_only: bool
     settings_version: int
     steps: list[RequestStep]
 
@@ -65,6 +67,7 @@
         number=0,
         unknown=False,
         waited_s=0,
+        primary_only=False,
         settings_version=0,
         steps=[],
     )
--- a/poplarspoke/daemon.py
+++ b/poplarspoke/daemon.py
@@ -240,6 +240,7 @@
             await anyio.sleep(WORK_COUNT_S)
             open_work = self._caller_server.active
             self.mesh.post('drains', WorkCount('callers', open_work))
+            self.mesh.post('drains', WorkCount('peers', self._peers.active))
             opened = transactions.count_open(
                 self.mesh.tasks['transactions'].state,
             )
--- a/poplarspoke/dispatch.py
+++ b/poplarspoke/dispatch.py
@@ -534,6 +534,7 @@
         zone=state['zone'],
         waited_s=message.waited_s,
         draw=state['rng'].random(),
+        primary_only=message.primary_only,
     )
 
 
--- a/poplarspoke/execution.py
+++ b/poplarspoke/execution.py
@@ -43,6 +43,9 @@
 
 # Part of the caller's time that is kept for the way back.
 RETURN_S = 0.02
+ATTEMPT_PART = 0.33
+# Slower answers are usual while an endpoint is busy.
+MIN_EXCHANGE_S = 0.5
 
 
 class EndpointUnit(NamedTuple):
@@ -259,6 +262,7 @@
         """Sends a message on a connection that is lent for it alone."""
         holder = self.name_attempt()
         timeout_s = self.count_left(until_s)
+        limit_s = limit_exchange(statement, timeout_s)
         lent = await unit.pool.ask(
             Acquire(holder, statement.workspace, budget_s=timeout_s),
             timeout_s=timeout_s,
@@ -271,13 +275,24 @@
                 lent.connection,
                 holder,
                 message,
-                until_s,
+                min(until_s, self._now_s() + limit_s),
                 clean=True,
             )
         finally:
             unit.pool.post(Release(lent.connection, holder))
 
 
+def limit_exchange(statement: Statement, budget_s: float) -> float:
+    """Returns the seconds after which an exchange counts as lost.
+
+    A statement that may be repeated gets a third of the time that is left, so
+    that a connection that went silent leaves time for further attempts.
+    """
+    if statement.repeat is Repeat.NEVER:
+        return budget_s
+    return max(budget_s * ATTEMPT_PART, MIN_EXCHANGE_S)
+
+
 @functools.singledispatch
 def find_request_id(message: Any) -> str:
     """Returns the request id that the endpoint's answer must echo."""
--- a/poplarspoke/peers.py
+++ b/poplarspoke/peers.py
@@ -142,6 +142,7 @@
 
     Attributes:
         port: TCP port of the listener.
+        active: Forwarded statements whose results were not sent yet.
     """
 
     def __init__(
@@ -163,6 +164,7 @@
             on_statement: Runs a forwarded statement.
         """
         self.port = listen[1]
+        self.active = 0
         self._listen = listen
         self._identity = (name, secret)
         self._on_message = on_message
@@ -293,8 +295,12 @@
         results: MemoryObjectSendStream[PeerFrame],
     ) -> None:
         statement: Any = frame.body
-        outcome = await self._on_statement(statement)
-        await results.send(PeerFrame(frame.correlation, outcome))
+        self.active += 1
+        try:
+            outcome = await self._on_statement(statement)
+            await results.send(PeerFrame(frame.correlation, outcome))
+        finally:
+            self.active -= 1
 
 
 def refuse_statement(
--- a/poplarspoke/proxy.py
+++ b/poplarspoke/proxy.py
@@ -206,6 +206,7 @@
                 overflowed=course['session'].overflowed,
                 waited_s=course['waited_s'],
                 transactional=request.step is TransactionStep.BEGIN,
+                primary_only=course['primary_only'],
             ),
             timeout_s=max(course['until_s'] - self._now_s(), 0),
         )
@@ -246,9 +247,10 @@
             primary=not outcome.replica,
         ):
             return outcome
-        # The next plan neither waits for a replica nor guesses one.
-        is_first = course['waited_s'] < routing.MAX_WAIT_S
-        course['waited_s'] = routing.MAX_WAIT_S
+        # The view of a replica may promise more than it answers, so the next
+        # plan asks the primary.
+        is_first = not course['primary_only']
+        course['primary_only'] = True
         return outcome._replace(
             replica=outcome.replica and is_first,
             refused=True,
--- a/poplarspoke/routing.py
+++ b/poplarspoke/routing.py
@@ -63,14 +63,9 @@
 
 
 def _choose(query: RouteQuery, candidates: Candidates) -> RouteChoice:
-    if query.write:
-        return _choose_primary(query, candidates, RouteReason.PRIMARY_FOR_WRITE)
-    if query.max_age_s <= 0:
-        return _choose_primary(
-            query,
-            candidates,
-            RouteReason.PRIMARY_FOR_STRICT_READ,
-        )
+    reason = _find_primary_reason(query)
+    if reason is not None:
+        return _choose_primary(query, candidates, reason)
     sorted_out = _sort_replicas(query, candidates)
     if sorted_out.usable:
         return _choose_replica(query, sorted_out)
@@ -90,6 +85,17 @@
     return _choose_primary(query, candidates, RouteReason.PRIMARY_AS_FALLBACK)
 
 
+def _find_primary_reason(query: RouteQuery) -> RouteReason | None:
+    """Returns why only the primary can serve a statement, if that is so."""
+    if query.write:
+        return RouteReason.PRIMARY_FOR_WRITE
+    if query.max_age_s <= 0:
+        return RouteReason.PRIMARY_FOR_STRICT_READ
+    if query.primary_only:
+        return RouteReason.PRIMARY_AS_FALLBACK
+    return None
+
+
 def accepts(
     query: RouteQuery,
     position: Position,
--- a/poplarspoke/schema/dispatch.capnp
+++ b/poplarspoke/schema/dispatch.capnp
@@ -14,6 +14,7 @@
   overflowed @4 :Bool;  # The session token had no room for all databases.
   waitedS @5 :Float64;  # Seconds that the request waited for a replica.
   transactional @6 :Bool;  # The statement runs inside of a transaction.
+  primaryOnly @7 :Bool;  # A replica's answer was too old for this request.
 }
 
 struct StatementPlan {
--- a/poplarspoke/schema/routing.capnp
+++ b/poplarspoke/schema/routing.capnp
@@ -45,6 +45,7 @@
   zone @3 :Text;  # Zone of the host that asks.
   waitedS @4 :Float64;  # Seconds that the statement has waited for a replica.
   draw @5 :Float64;  # Random number in [0, 1) for the ramp.
+  primaryOnly @6 :Bool;  # A replica's answer was too old.
 }
 
 struct PassedOver {
--- a/tests/request_course.py
+++ b/tests/request_course.py
@@ -356,6 +356,7 @@
         self.number = 0
         self.unknown = False
         self.waited_s = float(0)
+        self.primary_only = False
 
     def start(self) -> None:
         """Admits the request and verifies its session."""
@@ -441,6 +442,7 @@
             self.session.overflowed,
             self.waited_s,
             transactional=self.request.step is TransactionStep.BEGIN,
+            primary_only=self.primary_only,
         )
         self.world.ask(self.daemon, 'dispatch', plan, self.planned)
 
@@ -526,8 +528,8 @@
             query, result.position, result.age_s, primary=not result.replica
         ):
             return result
-        is_first = self.waited_s < routing.MAX_WAIT_S
-        self.waited_s = routing.MAX_WAIT_S
+        is_first = not self.primary_only
+        self.primary_only = True
         refusal = errors.refuse(
             ErrorCode.NO_ENDPOINT,
             'behind the session',
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -50,6 +50,20 @@
     return 0
 
 
+@pytest.mark.parametrize(
+    ('repeat', 'limit_s'),
+    [(Repeat.SAFE, 2), (Repeat.RECORDED, 2), (Repeat.NEVER, 6)],
+)
+def test_silent_connection_leaves_time_to_repeat(
+    repeat: Repeat,
+    limit_s: float,
+) -> None:
+    """One silent connection must not use up the caller's whole deadline."""
+    statement = WRITE._replace(repeat=repeat)
+    limited_s = execution.limit_exchange(statement, 6)
+    assert limited_s == pytest.approx(limit_s, abs=0.1)
+
+
 class FakeTask:
     """Answers each type of message by a rule; one without rule is late."""
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -121,3 +121,23 @@
         for hello in (first, second)
     }
     assert len(proofs) == 2
+
+
+async def test_forwarded_statements_are_counted_until_answered() -> None:
+    """A shutdown that does not wait for them would cut them off (R13)."""
+    async with AsyncExitStack() as stack:
+        sender = await stack.enter_async_context(open_peers('a', reverse))
+        receiver = await stack.enter_async_context(open_peers('b', reverse))
+        await link(sender, receiver)
+        seen: list[int] = []
+
+        async def watch(statement: Statement) -> StatementResult:
+            seen.append(receiver.active)
+            return StatementResult(statement.request_id)
+
+        receiver._on_statement = watch  # noqa: SLF001
+        await sender.forward('b', Statement('1', budget_s=10))
+        with anyio.fail_after(10):
+            while receiver.active:
+                await anyio.sleep(0.01)
+    assert seen == [1]
--- a/tests/test_request_path.py
+++ b/tests/test_request_path.py
@@ -15,7 +15,7 @@
 from tests import matrix_requests, request_world
 from tests.request_course import Caller
 from tests.failover_world import HOSTS, MEMBERS, ZONES
-from tests.request_world import RequestWorld
+from tests.request_world import HOST_ZONES, RequestWorld
 
 CALLERS = 3
 MAX_FAULTS = 2
@@ -217,7 +217,8 @@
     world.tracked = 'old'
     caller = Caller(world, 'c')
     primary = world.find_primary()
-    owner = routing.find_owner(primary, HOSTS)
+    near = [host for host in HOSTS if HOST_ZONES[host] == ZONES[primary]]
+    owner = routing.find_owner(primary, near)
     entry = next(host for host in HOSTS if host != owner)
 
     def pause_owner(step: str, host: str) -> None:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -190,3 +190,13 @@
     """A guess that must fail costs a slot of the replica for nothing."""
     choice = routing.choose(query, (PRIMARY, near))
     assert choice.reason is not RouteReason.LIKELY_REPLICA
+
+
+def test_primary_after_a_replica_was_too_old() -> None:
+    """A view that is too good would pick the same replica again and again."""
+    query = READ._replace(primary_only=True)
+    choice = routing.choose(query, (PRIMARY, NEAR))
+    assert (choice.endpoint, choice.reason) == (
+        'p',
+        RouteReason.PRIMARY_AS_FALLBACK,
+    )
