Refuse work that waited through a pause of the owner

Cause: an owner that was paused runs, after it resumes, what waited in its sockets and its pool with the whole budget of the statement; the fault matrix saw new work on an endpoint 5.5 s after its zone had left service (R8). Ruled out: the freshness of the settings, since a zone that is cut off would refuse open routes with it. Change: the pool notices a pause by its ticks, refuses its waiters and what arrives within 0.5 s after it as not run; another attempt plans anew.

--- a/poplarspoke/connections.py
+++ b/poplarspoke/connections.py
@@ -48,6 +48,11 @@
 # A member that refuses connections is not asked again at once.
 OPEN_PAUSE_S = 0.2
 CLOSE_REPEAT_S = 1.0
+# Ticks come every 0.1 s; a host without one for this long was paused.
+PAUSE_S = 2.0
+# Requests that waited in a socket through a pause arrive at once after it,
+# when the settings that sent them here may have changed (R8).
+RESUME_S = 0.5
 
 
 class Connection(TypedDict):
@@ -98,6 +103,8 @@
         waiters: Requests without a connection, in the order of arrival.
         open_after_s: Earliest time of the next attempt to open one.
         closed: Number of closed connections by reason.
+        ticked_s: When the last tick came, None before the first.
+        resumed_s: When the host last resumed after a pause.
     """
 
     endpoint: str
@@ -109,6 +116,8 @@
     waiters: list[Waiter]
     open_after_s: float
     closed: dict[str, int]
+    ticked_s: float | None
+    resumed_s: float
 
 
 def create_state(
@@ -136,6 +145,8 @@
         'waiters': [],
         'open_after_s': 0,
         'closed': {},
+        'ticked_s': None,
+        'resumed_s': float('-inf'),
     }
 
 
@@ -152,6 +163,8 @@
 
 @decide.register
 def _(message: Acquire, state: PoolState, now_s: float) -> list[Outgoing]:
+    if _was_paused(state, now_s):
+        return [_refuse_old(message, state)]
     if len(state['waiters']) >= MAX_WAITERS:
         return [
             _refuse(
@@ -296,7 +309,8 @@
 
 @decide.register
 def _(message: Tick, state: PoolState, now_s: float) -> list[Outgoing]:
-    outgoing = _close_overdue(state, now_s)
+    outgoing = _note_tick(state, now_s)
+    outgoing.extend(_close_overdue(state, now_s))
     outgoing.extend(_close_unused(state, now_s))
     outgoing.extend(_refuse_expired(state, now_s))
     outgoing.extend(_serve(state, now_s))
@@ -567,6 +581,38 @@
     return outgoing
 
 
+def _note_tick(state: PoolState, now_s: float) -> list[Outgoing]:
+    """Refuses what waited through a pause of the host."""
+    outgoing: list[Outgoing] = []
+    if _is_overdue(state, now_s):
+        state['resumed_s'] = now_s
+        for waiter in state['waiters']:
+            outgoing.append(_refuse_old(waiter.acquire, state))
+        state['waiters'] = []
+    state['ticked_s'] = now_s
+    return outgoing
+
+
+def _is_overdue(state: PoolState, now_s: float) -> bool:
+    ticked_s = state['ticked_s']
+    return ticked_s is not None and now_s - ticked_s > PAUSE_S
+
+
+def _was_paused(state: PoolState, now_s: float) -> bool:
+    """Returns whether a request may have waited through a pause."""
+    if _is_overdue(state, now_s):
+        return True
+    return now_s < state['resumed_s'] + RESUME_S
+
+
+def _refuse_old(message: Acquire, state: PoolState) -> Reply:
+    return _refuse(
+        message.request_id,
+        ErrorCode.OVERLOADED,
+        f'the owner of {state["endpoint"]} was paused',
+    )
+
+
 def _refuse_expired(state: PoolState, now_s: float) -> list[Outgoing]:
     expired = [
         waiter for waiter in state['waiters'] if waiter.deadline_s <= now_s
