--- a/bench/asks.py
+++ b/bench/asks.py
@@ -11,7 +11,7 @@
 
 from bench import stage, variants
 from poplarspoke.generated.common import Tick
-from poplarspoke.generated.rates import Admitted, AdmitRequest
+from poplarspoke.generated.rates import AdmitRequest, Admitted
 from poplarspoke.tasks import Mesh, Outgoing, Reply, Task
 
 ASKS = 5000
--- a/bench/capacity_control.py
+++ b/bench/capacity_control.py
@@ -20,6 +20,7 @@
     keys,
     membership,
     metrics,
+    placement,
     rates,
     records,
     shares,
@@ -377,7 +378,7 @@
     """Puts a version in force in the dispatcher, with all hosts live."""
     world = _scale_world(databases)
     name = next(iter(world.hosts))
-    state = dispatch.create_state(name, world.hosts[name], seed=1)
+    state = placement.create_state(name, world.hosts[name], seed=1)
     dispatch.decide(create_changed(world), state, worlds.START_S)
     return _build_adopt(databases, dispatch.decide, state)
 
@@ -433,7 +434,7 @@
     """A host comes or goes: the dispatcher ranks every database again."""
     world = worlds.create_world(hosts, worlds.DATABASES)
     names = sorted(world.hosts)
-    state = dispatch.create_state(names[0], 'zone-0', seed=1)
+    state = placement.create_state(names[0], 'zone-0', seed=1)
     dispatch.decide(worlds.create_in_force(world), state, worlds.START_S)
     every = create_changed(world)
     without = HostsChanged(every.hosts[:-1])
@@ -450,7 +451,7 @@
 def build_views(databases: int) -> tuple[Any, Round]:
     """The dispatcher holds views of all endpoints and renews its own ones."""
     world = worlds.create_world(8, databases)
-    state = dispatch.create_state('h000.z0', 'zone-0', seed=1)
+    state = placement.create_state('h000.z0', 'zone-0', seed=1)
     now_s = worlds.START_S
     dispatch.decide(worlds.create_in_force(world), state, now_s)
     views = EndpointViews(worlds.list_views(world.databases))
@@ -468,7 +469,7 @@
 def build_take_views(databases: int) -> tuple[Any, Round]:
     """A host takes views of all endpoints, one batch a second."""
     world = worlds.create_world(8, databases)
-    state = dispatch.create_state('h000.z0', 'zone-0', seed=1)
+    state = placement.create_state('h000.z0', 'zone-0', seed=1)
     dispatch.decide(worlds.create_in_force(world), state, worlds.START_S)
     views = EndpointViews(worlds.list_views(world.databases))
     clock = [worlds.START_S]
--- a/bench/capacity_fleet.py
+++ b/bench/capacity_fleet.py
@@ -17,6 +17,7 @@
     configuration,
     dispatch,
     membership,
+    placement,
     rates,
     routing,
     units,
@@ -105,7 +106,7 @@
     It knows its own endpoints and those of the hosts that it has links to.
     """
     names = tuple(sorted(world.hosts))
-    state = dispatch.create_state(host, world.hosts[host], seed=1)
+    state = placement.create_state(host, world.hosts[host], seed=1)
     dispatch.decide(worlds.create_in_force(world), state, worlds.START_S)
     near = {host, *peers}
     views = tuple(
--- a/bench/capacity_path.py
+++ b/bench/capacity_path.py
@@ -17,6 +17,7 @@
     dispatch,
     keys,
     metrics,
+    placement,
     queues,
     rates,
     shares,
@@ -84,7 +85,7 @@
 
     keys: keys.KeysState
     rates: shares.Rates
-    dispatch: dispatch.DispatchState
+    dispatch: placement.DispatchState
     queue: queues.QueueState
     pool: connections.PoolState
 
@@ -115,11 +116,11 @@
     return state
 
 
-def create_dispatch(hosts: int, databases: int) -> dispatch.DispatchState:
+def create_dispatch(hosts: int, databases: int) -> placement.DispatchState:
     """Returns a dispatcher that knows every endpoint and all live hosts."""
     world = worlds.create_world(hosts, databases)
     name = next(iter(world.hosts))
-    state = dispatch.create_state(name, 'zone-0', seed=1)
+    state = placement.create_state(name, 'zone-0', seed=1)
     state['hosts'] = tuple(sorted(world.hosts))
     dispatch.decide(worlds.create_in_force(world), state, NOW_S)
     views = EndpointViews(worlds.list_views(world.databases))
--- a/poplarspoke/decisions.py
+++ b/poplarspoke/decisions.py
@@ -9,6 +9,7 @@
     keys,
     membership,
     metrics,
+    placement,
     rates,
     shares,
     traces,
@@ -119,7 +120,7 @@
         Task(
             'dispatch',
             dispatch.decide,
-            dispatch.create_state(name, start.settings['zone'], seed=seed),
+            placement.create_state(name, start.settings['zone'], seed=seed),
             tick_s=TICK_S,
         ),
         Task(
--- a/tests/matrix_requests.py
+++ b/tests/matrix_requests.py
@@ -9,8 +9,8 @@
 from poplarspoke.generated.common import Outcome
 from poplarspoke.generated.drains import BeginShutdown
 from poplarspoke.generated.requests import TransactionStep
-from tests.request_course import Caller
 from tests.failover_world import HOSTS, MEMBERS, ZONES
+from tests.request_course import Caller
 from tests.request_world import RequestWorld, cut_primary_off
 
 START_S = 1.5
--- a/tests/request_world.py
+++ b/tests/request_world.py
@@ -19,6 +19,7 @@
     failover,
     invariants,
     keys,
+    placement,
     retries,
     tasks,
     transactions,
@@ -115,7 +116,7 @@
         self.number = number
         self.states: dict[str, Any] = {
             'keys': keys.create_state(),
-            'dispatch': dispatch.create_state(
+            'dispatch': placement.create_state(
                 host, HOST_ZONES[host], seed=number
             ),
             'drains': drains.create_state(
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from poplarspoke import dispatch
+from poplarspoke import dispatch, placement
 from poplarspoke.generated.common import (
     DatabasePosition,
     ErrorCode,
@@ -94,7 +94,7 @@
 
     def __init__(self) -> None:
         """Starts with settings and three fresh endpoints, m1 as primary."""
-        self.state = dispatch.create_state('h1', 'z2', seed=1)
+        self.state = placement.create_state('h1', 'z2', seed=1)
         self.now_s: float = 100
         self.set_document(1, describe())
         for name in ENDPOINTS:
@@ -222,7 +222,7 @@
 
 def test_old_view_is_no_reachable_endpoint(dispatcher: Dispatcher) -> None:
     """Work sent to an endpoint that nobody sees would wait in vain."""
-    dispatcher.now_s += dispatch.VIEW_VALID_S
+    dispatcher.now_s += placement.VIEW_VALID_S
     assert dispatcher.plan('read').refused
     assert dispatcher.plan('write').refused
 
@@ -278,7 +278,7 @@
     owner = dispatcher.plan('write').owner
     dispatcher.send(LinkDown(owner))
     assert dispatcher.plan('write').owner in {'h2', 'h3'} - {owner}
-    dispatcher.now_s += dispatch.LINK_AVOIDED_S
+    dispatcher.now_s += placement.LINK_AVOIDED_S
     dispatcher.send(Tick())
     assert dispatcher.plan('write').owner == owner
 
@@ -292,7 +292,7 @@
     )
     published = dispatcher.send(Tick())[0].message
     assert [view.endpoint for view in published.views] == list(ENDPOINTS)
-    dispatcher.now_s += dispatch.VIEW_VALID_S
+    dispatcher.now_s += placement.VIEW_VALID_S
     assert not dispatcher.send(Tick())[0].message.views
 
 
--- a/tests/test_dispatch_news.py
+++ b/tests/test_dispatch_news.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from poplarspoke import dispatch, routing
+from poplarspoke import dispatch, placement, routing
 from poplarspoke.attempts import ACTING_RANKS
 from poplarspoke.generated.common import Position
 from poplarspoke.generated.configuration import (
@@ -46,7 +46,7 @@
 
     def __init__(self) -> None:
         """Puts the settings in force; m1 is the primary of term 1."""
-        self.state = dispatch.create_state('h0', 'a', seed=1)
+        self.state = placement.create_state('h0', 'a', seed=1)
         self.now_s = 100.0
         self.configure(1, ('m1', 'm2'))
         self.change_hosts(HOSTS)
@@ -127,5 +127,5 @@
 def test_view_of_another_database_is_no_primary(host: Host) -> None:
     """Guards against a primary that was moved to another database."""
     host.observe('m1', 'other', term=9)
-    assert dispatch.find_primary(host.state, 'db').endpoint == ''
-    assert dispatch.find_primary(host.state, 'other').endpoint == 'm1'
+    assert placement.find_primary(host.state, 'db').endpoint == ''
+    assert placement.find_primary(host.state, 'other').endpoint == 'm1'
--- a/tests/test_key_isolation.py
+++ b/tests/test_key_isolation.py
@@ -10,7 +10,7 @@
 from poplarspoke.generated import members, peers
 from poplarspoke.generated.dispatch import PlanStatement, StatementPlan
 from poplarspoke.generated.keys import CheckKey, KeyAccepted
-from poplarspoke.generated.rates import Admitted, AdmitRequest
+from poplarspoke.generated.rates import AdmitRequest, Admitted
 from poplarspoke.generated.requests import (
     CallerRequest,
     Statement,
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -4,6 +4,7 @@
 import pytest
 
 from poplarspoke.generated.load import LoadResult, ViolationKind
+from poplarspoke.standins.exchanges import Exchange, ExchangeResult
 from poplarspoke.standins.load import (
     LoadRoute,
     Plan,
@@ -11,7 +12,6 @@
     plan_arrivals,
     run_load,
 )
-from poplarspoke.standins.exchanges import Exchange, ExchangeResult
 
 WRITE = LoadRoute('release', 1, write=True)
 READ = LoadRoute('catalogue', 1, write=False)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -9,8 +9,8 @@
 from poplarspoke.generated.membership import (
     EndpointView,
     Heartbeat,
-    HostView,
     HostsShown,
+    HostView,
     LeaveFleet,
     ShowHosts,
 )
--- a/tests/test_request_path.py
+++ b/tests/test_request_path.py
@@ -13,8 +13,8 @@
 from poplarspoke.generated.requests import TransactionStep
 from poplarspoke.generated.retries import Attempt
 from tests import matrix_requests, request_world
-from tests.request_course import Caller
 from tests.failover_world import HOSTS, MEMBERS, ZONES
+from tests.request_course import Caller
 from tests.request_world import HOST_ZONES, RequestWorld
 
 CALLERS = 3
