--- a/bench/capacity_path.py
+++ b/bench/capacity_path.py
@@ -18,6 +18,7 @@
     keys,
     metrics,
     placement,
+    pools,
     queues,
     rates,
     shares,
@@ -87,7 +88,7 @@
     rates: shares.Rates
     dispatch: placement.DispatchState
     queue: queues.QueueState
-    pool: connections.PoolState
+    pool: pools.PoolState
 
 
 def create_keys(databases: int) -> keys.KeysState:
@@ -128,11 +129,11 @@
     return state
 
 
-def create_pool(size: int) -> connections.PoolState:
+def create_pool(size: int) -> pools.PoolState:
     """Returns a pool whose connections are open and idle."""
-    state = connections.create_state(
+    state = pools.create_state(
         ENDPOINT,
-        limit=size + connections.RESERVED_CONNECTIONS,
+        limit=size + pools.RESERVED_CONNECTIONS,
         socket_task='sockets',
         holder_task='transactions',
     )
@@ -150,7 +151,7 @@
 
 
 def run_exchange(
-    state: connections.PoolState,
+    state: pools.PoolState,
     holder: str,
     number: int,
 ) -> None:
@@ -162,7 +163,7 @@
     connections.decide(Release(number, holder), state, NOW_S)
 
 
-def use_pool(state: connections.PoolState) -> None:
+def use_pool(state: pools.PoolState) -> None:
     """Runs one statement on a connection of a pool."""
     holder = f'h000.z0.{next(ids)}'
     acquire = Acquire(holder, WORKSPACE, budget_s=BUDGET_S)
--- a/poplarspoke/owners.py
+++ b/poplarspoke/owners.py
@@ -16,6 +16,7 @@
     connections,
     endpoints,
     failover,
+    pools,
     queues,
     transactions,
 )
@@ -201,7 +202,7 @@
         self._stack.push_async_exit(sockets)
         self._mesh.register(socket_task, sockets.post)
         self._group.start_soon(sockets.run, self._group)
-        pool_state = connections.create_state(
+        pool_state = pools.create_state(
             endpoint,
             limit=database['connections'],
             socket_task=socket_task,
--- a/tests/request_world.py
+++ b/tests/request_world.py
@@ -20,6 +20,7 @@
     invariants,
     keys,
     placement,
+    pools,
     retries,
     tasks,
     transactions,
@@ -131,7 +132,7 @@
         }
         self.pools = tuple(transactions.name_pool(name) for name in MEMBERS)
         for name, endpoint in zip(self.pools, MEMBERS, strict=True):
-            self.states[name] = connections.create_state(
+            self.states[name] = pools.create_state(
                 endpoint,
                 limit=CONNECTIONS,
                 socket_task=f'sockets {endpoint}',
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from poplarspoke import connections, invariants
+from poplarspoke import connections, invariants, pools
 from poplarspoke.generated.common import ErrorCode, Outcome, Tick
 from poplarspoke.generated.connections import (
     Acquire,
@@ -33,7 +33,7 @@
 
     def __init__(self, *, opens: bool = True) -> None:
         """Starts with warm connections."""
-        self.state = connections.create_state(
+        self.state = pools.create_state(
             'endpoint',
             limit=LIMIT,
             socket_task='sockets',
@@ -131,7 +131,7 @@
     """Work that waited through a pause may break newer settings (R8)."""
     held = [pool.lend(name) for name in ('first', 'second', 'third')]
     assert not pool.send(Acquire('waiting', 'w', budget_s=60))
-    pool.now_s = connections.PAUSE_S + 1
+    pool.now_s = pools.PAUSE_S + 1
     refused = pool.send(Acquire('in the socket', 'w', budget_s=60))
     refused += pool.send(Tick())
     refused += pool.send(Acquire('late', 'w', budget_s=60))
@@ -143,7 +143,7 @@
     ]
     outcomes = {one.refusal.outcome for one in answers}
     assert outcomes == {Outcome.NOT_RUN}
-    pool.now_s += connections.RESUME_S
+    pool.now_s += pools.RESUME_S
     pool.exchange(held[0], 'first', clean=True)
     pool.send(Release(held[0], 'first'))
     assert pool.lend('new') == held[0]
@@ -210,18 +210,18 @@
     refused = pool.send(ConnectionClosed(2))[0]
     assert refused.refusal.code is ErrorCode.NO_ENDPOINT
     assert not pool.send(Tick())
-    pool.now_s = connections.OPEN_PAUSE_S
+    pool.now_s = pools.OPEN_PAUSE_S
     assert isinstance(pool.send(Tick())[0], OpenConnection)
 
 
 def test_lost_messages_leak_no_connection(pool: Pool) -> None:
     """Guards against connections that are lent or closing for good."""
     number = pool.lend('first', transaction=True)
-    pool.now_s = connections.ABANDONED_S
+    pool.now_s = pools.ABANDONED_S
     messages = pool.send(Tick())
     gone = ConnectionGone('endpoint', number, CloseReason.ABANDONED)
     assert gone in messages
-    pool.now_s += connections.CLOSE_REPEAT_S
+    pool.now_s += pools.CLOSE_REPEAT_S
     closing = CloseConnection(number, CloseReason.ABANDONED)
     assert closing in pool.send(Tick())
 
@@ -248,7 +248,7 @@
         pool.lend(holder)
     for number in (1, 2, 3):
         pool.send(CancelAcquire('abc'[number - 1]))
-    pool.now_s = connections.UNUSED_CLOSE_S
+    pool.now_s = pools.UNUSED_CLOSE_S
     pool.send(Tick())
     assert pool.closed() == [CloseReason.UNUSED]
     idle = [
@@ -256,4 +256,4 @@
         for connection in pool.state['connections'].values()
         if connection['status'] is ConnectionStatus.IDLE
     ]
-    assert len(idle) == connections.WARM_CONNECTIONS
+    assert len(idle) == pools.WARM_CONNECTIONS
--- a/tests/test_transactions.py
+++ b/tests/test_transactions.py
@@ -13,7 +13,7 @@
     rule,
 )
 
-from poplarspoke import connections, transactions
+from poplarspoke import connections, pools, transactions
 from poplarspoke.generated.common import ErrorCode, Outcome, Position, Tick
 from poplarspoke.generated.connections import (
     Acquire,
@@ -232,7 +232,7 @@
         """Starts without connections."""
         super().__init__()
         self.now_s: float = 0
-        self.pool = connections.create_state(
+        self.pool = pools.create_state(
             ENDPOINT,
             limit=5,
             socket_task='sockets',
