Do not promote an isolated primary again

Cause: an attempt against a primary that is cut off from its group only took the first majority of grants. Ruled out: competing candidates (one host acted in all events) and callers' deadlines (new writes every 20 ms). Change: it is avoided like an endpoint that leaves; it is taken only if no majority is left without it, so no acknowledged write is lost.

--- a/poplarspoke/elections.py
+++ b/poplarspoke/elections.py
@@ -252,7 +252,7 @@
 ) -> list[Outgoing]:
     """Promotes the highest member once a majority has granted the term."""
     grants = attempt['grants']
-    avoided = state['avoided'].endpoints
+    avoided = _list_avoided(attempt, state)
     members = len(state['views'])
     staying = [name for name in grants if name not in avoided]
     enough = len(staying) >= majorities.count_majority(members)
@@ -272,6 +272,21 @@
     return _send_promote(attempt, state, now_s)
 
 
+def _list_avoided(
+    attempt: Attempt,
+    state: FailoverState,
+) -> tuple[str, ...]:
+    """Returns the members that are promoted only if no majority is left.
+
+    An isolated primary still answers the hosts and often has the highest log,
+    so it would be promoted again and acknowledge nothing.
+    """
+    avoided = state['avoided'].endpoints
+    if attempt['suspicion'].reason is FailoverReason.PRIMARY_ISOLATED:
+        return (*avoided, state['primary'])
+    return avoided
+
+
 def _send_promote(
     attempt: Attempt,
     state: FailoverState,
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -105,6 +105,19 @@
     assert world.primaries[max(world.primaries)] != old
 
 
+@pytest.mark.parametrize('seed', range(12))
+def test_isolated_primary_is_not_promoted_again(seed: int) -> None:
+    """It answers first and has the highest log, but reaches no member."""
+    world = start_world(seed)
+    assert write_until_acknowledged(world, 'before', LIMIT_S)
+    term = max(world.primaries)
+    old = world.primaries[term]
+    isolate(world, old, tuple(name for name in world.members if name != old))
+    assert write_until_acknowledged(world, 'after', LIMIT_S)
+    later = [world.primaries[one] for one in world.primaries if one > term]
+    assert old not in later
+
+
 @pytest.mark.parametrize('seed', range(30))
 def test_candidates_compete_without_the_table(seed: int) -> None:
     """Candidates of equal rank must not both promote a member in a term."""
