--- /dev/null
+++ b/poplarspoke/control/__init__.py
@@ -0,0 +1,1 @@
+"""What the hosts agree on: rules, endpoints, leases, changes of primary."""
--- /dev/null
+++ b/poplarspoke/control/duty.py
@@ -0,0 +1,293 @@
+"""Who changes primaries, and when one has to be changed.
+
+Every host judges the primaries by what the endpoints say of themselves and by
+its own traffic, and reports to the holder of the duty. A holder that does not
+answer is replaced: the duty's row is taken under a condition, and its token,
+which only grows, goes with every order to the platform.
+"""
+
+from typing import Any
+
+from poplarspoke.control import handover, records
+from poplarspoke.control.state import (
+    ENDPOINTS,
+    RECORDS,
+    ControlState,
+    LeaveDuty,
+    Report,
+    TakeDuty,
+)
+from poplarspoke.generated.control import (
+    AskReach,
+    DutyRecord,
+    EndpointState,
+    PrimaryPhase,
+    QueryEndpoint,
+    Reach,
+    ReportHeard,
+    ReportPrimary,
+)
+from poplarspoke.generated.relay import LogDecision
+from poplarspoke.generated.rules import EndpointRole
+from poplarspoke.tasks import ToHost, ToTask
+
+# A row that shows an outdated role is waited for this long.
+ROLE_S = 1.0
+REPORT_AGAIN_S = 0.3
+# A holder that has not answered for so long is replaced.
+HOLDER_S = 0.9
+# Hosts that want the duty wait up to so long more, so that one comes first.
+TAKE_SPREAD_S = 0.3
+# A change that makes no progress is reported after this time.
+STUCK_S = 2.0
+# Time for the other hosts to say whether an endpoint answers them.
+REACH_S = 0.4
+# An answer this recent speaks against a silent endpoint.
+RECENT_S = 1.0
+# After this the old holder can no longer order: an order is sent at most 1 s
+# after its write, on a connection that is given up 1 s later.
+OLD_HOLDER_S = 2.5
+SILENT = 'silent'
+
+
+def is_holder(state: ControlState) -> bool:
+    """Returns whether this process holds the duty."""
+    record = state['duty'].record
+    own = state['settings'].name
+    return record.holder == own and (record.incarnation == state['incarnation'])
+
+
+def check(state: ControlState, now_s: float) -> list[Any]:
+    """Judges all primaries and reports those to be replaced."""
+    outgoing: list[Any] = []
+    for service in sorted(state['primaries']):
+        if service in state['changes']:
+            continue
+        reason = _judge(state, service, now_s)
+        report = state['reports'].get(service)
+        endpoint = state['primaries'][service].record.endpoint
+        if not reason:
+            state['reports'].pop(service, None)
+            continue
+        if report is None or report['endpoint'] != endpoint:
+            report = _create_report(service, endpoint, reason, now_s)
+            state['reports'][service] = report
+        report['reason'] = reason
+        outgoing.extend(_pursue(state, report, now_s))
+    return outgoing
+
+
+def take_report(
+    state: ControlState,
+    message: ReportPrimary,
+    now_s: float,
+) -> list[Any]:
+    """Answers a report as the holder, and judges it."""
+    if not is_holder(state):
+        return []
+    heard = ReportHeard(
+        state['settings'].name,
+        message.service,
+        state['duty'].record.token,
+    )
+    outgoing: list[Any] = [ToHost(message.sender, heard)]
+    known = state['primaries'].get(message.service)
+    if known is None or message.service in state['changes']:
+        return outgoing
+    if known.record.endpoint != message.endpoint:
+        return outgoing
+    report = state['reports'].get(message.service)
+    if report is None:
+        report = _create_report(
+            message.service, message.endpoint, message.reason, now_s
+        )
+        state['reports'][message.service] = report
+    if message.reason == SILENT:
+        reach = Reach(message.sender, message.endpoint, silent=True)
+        report['reach'][message.sender] = reach
+    outgoing.extend(_pursue(state, report, now_s))
+    return outgoing
+
+
+def take_reach(
+    state: ControlState,
+    message: Reach,
+) -> None:
+    """Keeps whether an endpoint answers another host."""
+    for report in state['reports'].values():
+        if report['endpoint'] == message.endpoint:
+            report['reach'][message.sender] = message
+
+
+def take_probe(
+    state: ControlState,
+    message: EndpointState,
+) -> None:
+    """Keeps whether an endpoint answers this host when it is asked."""
+    report = state['reports'].get(message.service)
+    if report is None or report['endpoint'] != message.endpoint:
+        return
+    own = state['settings'].name
+    report['reach'][own] = Reach(
+        own, message.endpoint, silent=not message.answered
+    )
+
+
+def take_heard(
+    state: ControlState,
+    message: ReportHeard,
+    now_s: float,
+) -> None:
+    """Notes that the holder of the duty answers."""
+    report = state['reports'].get(message.service)
+    if report is not None and message.sender == state['duty'].record.holder:
+        report['heard_s'] = now_s
+
+
+def leave(state: ControlState) -> list[Any]:
+    """Gives the duty up, so that another host takes it without waiting."""
+    if not is_holder(state) or state['changes']:
+        return []
+    record = DutyRecord(token=state['duty'].record.token)
+    write = records.write_duty(record, state['duty'].version)
+    return [records.write(state, LeaveDuty(), write)]
+
+
+def _judge(state: ControlState, service: str, now_s: float) -> str:
+    """Returns why a primary has to be replaced, empty if it need not be."""
+    record = state['primaries'][service].record
+    if record.phase is PrimaryPhase.CHANGING:
+        return 'unfinished change'
+    others = [
+        entry
+        for entry in state['endpoints'].values()
+        if entry.service == service and entry.endpoint != record.endpoint
+    ]
+    if not others:
+        return ''
+    entry = state['endpoints'].get(record.endpoint)
+    if entry is None:
+        table = state['tables'][ENDPOINTS]
+        return 'gone' if table['complete'] else ''
+    if entry.draining:
+        return 'draining'
+    if entry.zone in state['evacuated']:
+        return 'zone evacuated'
+    if entry.role is EndpointRole.REPLICA:
+        return 'not primary'
+    if record.endpoint in state['silent']:
+        return SILENT
+    return ''
+
+
+def _create_report(
+    service: str,
+    endpoint: str,
+    reason: str,
+    now_s: float,
+) -> Report:
+    return Report(
+        service=service,
+        endpoint=endpoint,
+        reason=reason,
+        since_s=now_s,
+        heard_s=now_s,
+        next_s=now_s,
+        probed_s=0,
+        reach={},
+    )
+
+
+def _pursue(state: ControlState, report: Report, now_s: float) -> list[Any]:
+    waited_s = now_s - report['since_s']
+    if report['reason'] == 'not primary' and waited_s < ROLE_S:
+        return []
+    if state['leaving']:
+        return []
+    if is_holder(state):
+        return _act(state, report, now_s)
+    holder = state['duty'].record.holder
+    spread_s = HOLDER_S + state['rng'].uniform(0, TAKE_SPREAD_S)
+    if not holder or now_s - report['heard_s'] > spread_s:
+        return _take(state, now_s)
+    if now_s < report['next_s']:
+        return []
+    report['next_s'] = now_s + REPORT_AGAIN_S
+    message = ReportPrimary(
+        state['settings'].name,
+        report['service'],
+        report['endpoint'],
+        report['reason'],
+    )
+    return [ToHost(holder, message)]
+
+
+def _act(state: ControlState, report: Report, now_s: float) -> list[Any]:
+    service = report['service']
+    if report['reason'] != SILENT:
+        state['reports'].pop(service)
+        return handover.start(state, service, report['reason'], now_s)
+    if not report['probed_s']:
+        report['probed_s'] = now_s
+        return _ask_all(state, report)
+    if now_s - report['probed_s'] < REACH_S:
+        return []
+    own = state['settings'].name
+    against = 0
+    silent = 0
+    for reach in report['reach'].values():
+        if reach.silent:
+            silent += 1
+        elif 0 <= reach.heard_ago_s < RECENT_S:
+            against += 1
+    line = LogDecision(
+        event='silent primary judged',
+        database=service,
+        endpoint=report['endpoint'],
+        outcome='replaced' if silent > against else 'kept',
+        reason=f'silent to {silent} hosts, answers {against}',
+        age_s=now_s - report['since_s'],
+    )
+    state['reports'].pop(service)
+    if silent > against and own in report['reach']:
+        return [line, *handover.start(state, service, SILENT, now_s)]
+    return [line]
+
+
+def _ask_all(state: ControlState, report: Report) -> list[Any]:
+    own = state['settings'].name
+    request = AskReach(own, report['endpoint'])
+    outgoing: list[Any] = [
+        ToHost(host, request) for host in state['hosts'] if host != own
+    ]
+    entry = state['endpoints'].get(report['endpoint'])
+    if entry is not None:
+        query = QueryEndpoint(
+            report['service'], report['endpoint'], entry.address
+        )
+        outgoing.append(ToTask('endpoints', query))
+    return outgoing
+
+
+def _take(state: ControlState, now_s: float) -> list[Any]:
+    pending = any(
+        type(purpose) is TakeDuty for purpose in state['writes'].values()
+    )
+    if pending or not state['tables'][RECORDS]['complete']:
+        return []
+    duty = state['duty']
+    record = DutyRecord(
+        holder=state['settings'].name,
+        incarnation=state['incarnation'],
+        token=duty.record.token + 1,
+    )
+    line = LogDecision(
+        event='duty claimed',
+        outcome=str(record.token),
+        reason=f'holder {duty.record.holder or "none"} does not answer',
+    )
+    # A holder that gave the duty up orders nothing more.
+    wait_s = OLD_HOLDER_S if duty.record.holder else 0
+    state['duty_wait_s'] = now_s + wait_s
+    write = records.write_duty(record, duty.version)
+    return [line, records.write(state, TakeDuty(), write)]
--- /dev/null
+++ b/poplarspoke/control/feeds.py
@@ -0,0 +1,166 @@
+"""Tasks that own the connections to the metadata store.
+
+Each table is read once and then watched. A watch that finds the history gone
+reads the table anew; what this host knows never goes back.
+"""
+
+import random
+from collections.abc import Callable
+from typing import Any, Protocol, Self
+
+import anyio
+from anyio.abc import TaskGroup
+
+from poplarspoke import errors
+from poplarspoke.control.state import ENDPOINTS, RECORDS, RULES, TABLES
+from poplarspoke.generated.control import (
+    OrderPromotion,
+    PromotionAnswered,
+    RecordsWritten,
+    TableLost,
+    TableRows,
+    WriteRecords,
+)
+
+# Longest time of one watch. The records confirm the leases of this host, so
+# their watch ends in time for several tries within a lease; the others only
+# end to notice a connection that has gone silent.
+WATCH_S = {RULES: 5.0, ENDPOINTS: 5.0, RECORDS: 2.0}
+# The store answers in 4 ms, and 60 times slower when it is slow.
+ANSWER_S = 1.0
+# Tries after a failure are spread, so that hosts do not all return at once.
+MIN_RETRY_S = 0.15
+MAX_RETRY_S = 0.45
+
+
+class MetadataClient(Protocol):
+    """Calls of the metadata store over one connection.
+
+    An async context manager that owns the connection. Every call raises
+    ``errors.StoreError`` if no whole answer came.
+    """
+
+    async def __aenter__(self) -> Self:
+        """Returns the client; it connects with the first call."""
+
+    async def __aexit__(self, *exc: object) -> None:
+        """Closes the connection."""
+
+    async def read_table(self, table: str, *, timeout_s: float) -> TableRows:
+        """Reads a whole table."""
+
+    async def watch_table(
+        self,
+        table: str,
+        after: int,
+        *,
+        wait_s: float,
+        timeout_s: float,
+    ) -> TableRows | None:
+        """Returns rows changed after a version; None if history is gone."""
+
+    async def write(
+        self,
+        change: WriteRecords,
+        *,
+        timeout_s: float,
+    ) -> RecordsWritten:
+        """Writes rows atomically if their versions are as expected."""
+
+    async def promote(
+        self,
+        order: OrderPromotion,
+        *,
+        timeout_s: float,
+    ) -> PromotionAnswered:
+        """Orders a promotion on a connection of its own."""
+
+
+class Feeds:
+    """Watches all tables and carries out writes and orders."""
+
+    def __init__(
+        self,
+        connect: Callable[[], MetadataClient],
+        *,
+        post: Callable[[Any], bool],
+        now_s: Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        """Keeps how to connect and where answers go."""
+        self._connect = connect
+        self._post = post
+        self._now_s = now_s
+        self._rng = rng
+        self._group: TaskGroup
+
+    async def __aenter__(self) -> Self:
+        """Starts one watch for each table."""
+        self._group = await anyio.create_task_group().__aenter__()
+        for table in TABLES:
+            self._group.start_soon(self._watch, table)
+        return self
+
+    async def __aexit__(self, *_exc: object) -> None:
+        """Ends all watches, writes and orders."""
+        self._group.cancel_scope.cancel()
+        await self._group.__aexit__(None, None, None)
+
+    def send_write(self, change: WriteRecords) -> None:
+        """Starts a write; its outcome is posted."""
+        self._group.start_soon(self._write, change)
+
+    def send_order(self, order: OrderPromotion) -> None:
+        """Starts an order; its outcome is posted."""
+        self._group.start_soon(self._promote, order)
+
+    async def _watch(self, table: str) -> None:
+        while True:
+            try:
+                async with self._connect() as client:
+                    await self._follow(client, table)
+            except errors.PoplarspokeError as exc:
+                self._post(TableLost(table, str(exc)))
+            wait_s = self._rng.uniform(MIN_RETRY_S, MAX_RETRY_S)
+            await anyio.sleep(wait_s)
+
+    async def _follow(self, client: MetadataClient, table: str) -> None:
+        """Reads a table and watches it until a call fails."""
+        version = 0
+        while True:
+            asked_s = self._now_s()
+            if not version:
+                rows = await client.read_table(table, timeout_s=ANSWER_S)
+                version = rows.version
+                self._post(rows._replace(asked_s=asked_s, complete=True))
+                continue
+            wait_s = WATCH_S[table]
+            changed = await client.watch_table(
+                table,
+                version,
+                wait_s=wait_s,
+                timeout_s=wait_s + ANSWER_S,
+            )
+            if changed is None:
+                version = 0
+                continue
+            version = max(version, changed.version)
+            self._post(changed._replace(asked_s=asked_s))
+
+    async def _write(self, change: WriteRecords) -> None:
+        try:
+            async with self._connect() as client:
+                written = await client.write(change, timeout_s=ANSWER_S)
+        except errors.PoplarspokeError:
+            # The control task logs that no answer came.
+            written = RecordsWritten(change.correlation)
+        self._post(written)
+
+    async def _promote(self, order: OrderPromotion) -> None:
+        try:
+            async with self._connect() as client:
+                answer = await client.promote(order, timeout_s=ANSWER_S)
+        except errors.PoplarspokeError:
+            # The control task logs status 0 and orders again.
+            answer = PromotionAnswered(order.service, order.endpoint)
+        self._post(answer)
--- /dev/null
+++ b/poplarspoke/control/handover.py
@@ -0,0 +1,459 @@
+"""The steps of one change of primary, carried out by the duty's holder.
+
+1. Claim: the primary's row says that it changes, under the condition that the
+   row and the duty are unchanged. No host renews its lease from then on.
+2. Release: each registered host gives up its lease. A host that does not
+   answer is waited for until its lease must have ended.
+3. Choice: the old primary is demoted if it answers; the endpoint with the
+   longest log takes over. After a planned change that is all that the old
+   primary has acknowledged.
+4. Order: the candidate is written, again under the condition that the duty is
+   unchanged, and the platform is told to promote it.
+5. Record: once the candidate says that it leads, its row is written and hosts
+   take leases on it.
+"""
+
+import functools
+from typing import Any
+
+from poplarspoke.control import records
+from poplarspoke.control.state import (
+    RECORDS,
+    AdvanceChange,
+    Change,
+    Choosing,
+    Claiming,
+    Confirming,
+    ControlState,
+    Naming,
+    Ordering,
+    Recording,
+    Releasing,
+)
+from poplarspoke.control.tables import LEASE_S, RELAY
+from poplarspoke.generated.common import Position
+from poplarspoke.generated.control import (
+    AskRelease,
+    EndpointState,
+    OrderPromotion,
+    PrimaryPhase,
+    PrimaryRecord,
+    PromotionAnswered,
+    QueryEndpoint,
+    RecordsWritten,
+    Released,
+)
+from poplarspoke.generated.relay import LeaseRevoked, LogDecision
+from poplarspoke.generated.rules import EndpointRole
+from poplarspoke.tasks import Outgoing, ToHost, ToStore, ToTask
+
+# A lease is judged by the clock of its host, which may run slightly slower.
+LEASE_MARGIN_S = 0.2
+# Datagrams may be lost; a round trip between zones takes 3 ms.
+ASK_AGAIN_S = 0.15
+# Endpoints that do not answer within this are left out of the choice.
+CHOICE_S = 0.5
+# A planned change waits so long for a replica to have the whole log.
+CATCH_UP_S = 2.5
+# An order is sent only so soon after its write was sent, so that a new holder
+# of the duty knows when the old one can no longer order.
+ORDER_S = 1.0
+# A promotion takes 0.3 s to 1 s.
+CONFIRM_S = 6.0
+CONFIRM_AGAIN_S = 0.1
+HTTP_OK = 200
+HTTP_CONFLICT = 409
+# Reasons under which the old primary still runs and has the whole log.
+PLANNED = frozenset(('draining', 'zone evacuated'))
+
+
+def start(
+    state: ControlState,
+    service: str,
+    reason: str,
+    now_s: float,
+) -> list[Any]:
+    """Claims a change of primary."""
+    known = state['primaries'][service]
+    change = Change(
+        service=service,
+        old=known.record.endpoint,
+        reason=reason,
+        number=known.record.change + 1,
+        step=Claiming(),
+        started_s=now_s,
+        claimed_s=0,
+        claim_version=0,
+        released=set(),
+        states={},
+        candidate=known.record.candidate,
+        excluded=set(),
+        demote_term=0,
+    )
+    state['changes'][service] = change
+    return [
+        _log(change, 'change of primary claimed', now_s),
+        _write_row(state, change, PrimaryPhase.CHANGING),
+    ]
+
+
+@functools.singledispatch
+def advance(
+    step: Any,
+    state: ControlState,
+    change: Change,
+    now_s: float,
+) -> list[Any]:
+    """Acts on a change when time has passed; the step decides how."""
+    return []
+
+
+@advance.register
+def _(
+    step: Releasing, state: ControlState, change: Change, now_s: float
+) -> list[Any]:
+    if state['tables'][RECORDS]['version'] < change['claim_version']:
+        return []
+    ended_s = change['claimed_s'] + LEASE_S + LEASE_MARGIN_S
+    missing = _list_holders(state, now_s) - change['released']
+    own = state['settings'].name
+    if own in missing:
+        change['released'].add(own)
+        missing.discard(own)
+        state['released'][change['service']] = change['number']
+        revoked = ToTask(RELAY, LeaseRevoked(change['service']))
+        return [revoked, *advance(step, state, change, now_s)]
+    if not missing or now_s >= ended_s:
+        line = _log(
+            change,
+            'primary released',
+            now_s,
+            f'hosts without an answer: {",".join(sorted(missing)) or "none"}',
+        )
+        change['step'] = Choosing(now_s, now_s)
+        return [line, *advance(change['step'], state, change, now_s)]
+    if now_s < step.next_s:
+        return []
+    change['step'] = Releasing(now_s + ASK_AGAIN_S)
+    request = AskRelease(own, change['service'], change['number'])
+    return [ToHost(host, request) for host in sorted(missing)]
+
+
+@advance.register
+def _(
+    step: Choosing, state: ControlState, change: Change, now_s: float
+) -> list[Any]:
+    waited_s = now_s - step.since_s
+    chosen = _choose(state, change, waited_s)
+    if chosen and now_s >= state['duty_wait_s']:
+        change['candidate'] = chosen
+        change['step'] = Naming(now_s)
+        return [_write_row(state, change, PrimaryPhase.CHANGING)]
+    if now_s < step.next_s:
+        return []
+    change['step'] = Choosing(step.since_s, now_s + ASK_AGAIN_S)
+    return _query_all(state, change)
+
+
+@advance.register
+def _(
+    step: Ordering, state: ControlState, change: Change, now_s: float
+) -> list[Any]:
+    if now_s < step.next_s:
+        return []
+    if now_s - step.since_s > CONFIRM_S:
+        return _choose_again(state, change, now_s, 'no answer to the order')
+    # The duty is proved again before each order.
+    change['step'] = Naming(now_s)
+    return [_write_row(state, change, PrimaryPhase.CHANGING)]
+
+
+@advance.register
+def _(
+    step: Confirming, state: ControlState, change: Change, now_s: float
+) -> list[Any]:
+    if now_s - step.since_s > CONFIRM_S:
+        return _choose_again(state, change, now_s, 'it did not lead in time')
+    if now_s < step.next_s:
+        return []
+    change['step'] = Confirming(step.since_s, now_s + CONFIRM_AGAIN_S)
+    return _query(state, change, change['candidate'], 0)
+
+
+def take_release(
+    state: ControlState,
+    message: Released,
+    now_s: float,
+) -> list[Any]:
+    """Notes that a host has given up the old primary."""
+    change = state['changes'].get(message.service)
+    if change is None or change['number'] != message.change:
+        return []
+    change['released'].add(message.sender)
+    return advance(change['step'], state, change, now_s)
+
+
+def take_state(
+    state: ControlState,
+    message: EndpointState,
+    now_s: float,
+) -> list[Any]:
+    """Notes the log of an endpoint, or that a candidate leads."""
+    change = state['changes'].get(message.service)
+    if change is None or not message.answered:
+        return []
+    change['states'][message.endpoint] = message
+    if type(change['step']) is not Confirming:
+        return advance(change['step'], state, change, now_s)
+    leads = message.role is EndpointRole.PRIMARY
+    if message.endpoint != change['candidate'] or not leads:
+        return []
+    change['step'] = Recording()
+    return [_write_row(state, change, PrimaryPhase.STABLE)]
+
+
+def take_order(
+    state: ControlState,
+    message: PromotionAnswered,
+    now_s: float,
+) -> list[Any]:
+    """Handles the platform's answer to an order."""
+    change = state['changes'].get(message.service)
+    if change is None or change['candidate'] != message.endpoint:
+        return []
+    step = change['step']
+    if type(step) is not Ordering:
+        return []
+    line = _log(
+        change,
+        'promotion answered',
+        now_s,
+        f'{message.endpoint}: {message.status}',
+    )
+    if message.status == HTTP_OK:
+        change['step'] = Confirming(now_s, now_s + CONFIRM_AGAIN_S)
+        return [line]
+    if message.status == HTTP_CONFLICT:
+        change['excluded'].add(message.endpoint)
+        again = _choose_again(state, change, now_s, 'it is not running')
+        return [line, *again]
+    change['step'] = Ordering(step.since_s, now_s + ASK_AGAIN_S)
+    return [line]
+
+
+def take_write(
+    state: ControlState,
+    service: str,
+    written: RecordsWritten,
+    now_s: float,
+) -> list[Any]:
+    """Goes on after a write of the primary's row."""
+    change = state['changes'].get(service)
+    if change is None:
+        return []
+    if not written.accepted:
+        # Another host has changed a row, or no answer came: what the rows
+        # say decides, and the reason for the change is judged again.
+        state['changes'].pop(service)
+        return [_log(change, 'change of primary dropped', now_s)]
+    return _go_on(change['step'], state, change, written, now_s)
+
+
+@functools.singledispatch
+def _go_on(
+    step: Any,
+    state: ControlState,
+    change: Change,
+    written: RecordsWritten,
+    now_s: float,
+) -> list[Any]:
+    return []
+
+
+@_go_on.register
+def _(
+    step: Claiming,
+    state: ControlState,
+    change: Change,
+    written: RecordsWritten,
+    now_s: float,
+) -> list[Any]:
+    change['claimed_s'] = now_s
+    change['claim_version'] = written.version
+    change['step'] = Releasing(now_s)
+    return advance(change['step'], state, change, now_s)
+
+
+@_go_on.register
+def _(
+    step: Naming,
+    state: ControlState,
+    change: Change,
+    written: RecordsWritten,
+    now_s: float,
+) -> list[Any]:
+    if now_s - step.sent_s > ORDER_S:
+        change['step'] = Naming(now_s)
+        return [_write_row(state, change, PrimaryPhase.CHANGING)]
+    change['step'] = Ordering(now_s, now_s + CONFIRM_S)
+    order = OrderPromotion(
+        change['service'],
+        change['candidate'],
+        state['settings'].name,
+        state['duty'].record.token,
+    )
+    line = _log(change, 'promotion ordered', now_s, change['candidate'])
+    return [line, ToStore(order)]
+
+
+@_go_on.register
+def _(
+    step: Recording,
+    state: ControlState,
+    change: Change,
+    written: RecordsWritten,
+    now_s: float,
+) -> list[Any]:
+    state['changes'].pop(change['service'])
+    return [_log(change, 'change of primary done', now_s)]
+
+
+def _write_row(
+    state: ControlState,
+    change: Change,
+    phase: PrimaryPhase,
+) -> ToStore:
+    service = change['service']
+    stable = phase is PrimaryPhase.STABLE
+    record = PrimaryRecord(
+        service=service,
+        endpoint=change['candidate'] if stable else change['old'],
+        phase=phase,
+        change=change['number'],
+        candidate='' if stable else change['candidate'],
+        reason=change['reason'],
+    )
+    known = state['primaries'][service]
+    duty = state['duty']
+    return records.write(
+        state,
+        AdvanceChange(service),
+        records.write_duty(duty.record, duty.version),
+        records.write_primary(record, known.version),
+    )
+
+
+def _list_holders(state: ControlState, now_s: float) -> set[str]:
+    """Returns hosts that may hold a lease, also those just removed."""
+    holders = set(state['hosts'])
+    for name, removed_s in state['removed_hosts'].items():
+        if now_s - removed_s < LEASE_S + LEASE_MARGIN_S:
+            holders.add(name)
+    return holders
+
+
+def _query_all(state: ControlState, change: Change) -> list[Any]:
+    outgoing: list[Any] = []
+    for name, entry in state['endpoints'].items():
+        if entry.service != change['service'] or name in change['excluded']:
+            continue
+        demote_term = 0
+        if name == change['old']:
+            # It must not go on as a primary; its answer has its whole log.
+            terms = [known.term for known in change['states'].values()]
+            demote_term = max(terms, default=0) + 1 if terms else 0
+            change['demote_term'] = demote_term
+        outgoing.extend(_query(state, change, name, demote_term))
+    return outgoing
+
+
+def _query(
+    state: ControlState,
+    change: Change,
+    endpoint: str,
+    demote_term: int,
+) -> list[Outgoing]:
+    entry = state['endpoints'].get(endpoint)
+    if entry is None:
+        return []
+    query = QueryEndpoint(
+        change['service'], endpoint, entry.address, demote_term
+    )
+    return [ToTask('endpoints', query)]
+
+
+def _choose(state: ControlState, change: Change, waited_s: float) -> str:
+    """Returns the endpoint to promote, empty while it is too early."""
+    best = ''
+    best_log = Position()
+    for name, known in change['states'].items():
+        entry = state['endpoints'].get(name)
+        if entry is None or name == change['old']:
+            continue
+        if name in change['excluded'] or entry.draining:
+            continue
+        if entry.zone in state['evacuated']:
+            continue
+        if known.role is EndpointRole.PRIMARY:
+            return name
+        if not best or known.received > best_log:
+            best = name
+            best_log = known.received
+    if not best:
+        return ''
+    old = change['states'].get(change['old'])
+    if old is not None and change['demote_term'] and waited_s < CATCH_UP_S:
+        return best if best_log >= old.received else ''
+    if waited_s < CHOICE_S and not _is_complete(state, change):
+        return ''
+    return best
+
+
+def _is_complete(state: ControlState, change: Change) -> bool:
+    if change['reason'] in PLANNED:
+        return False
+    for name, entry in state['endpoints'].items():
+        if entry.service != change['service'] or name == change['old']:
+            continue
+        if name not in change['states'] and name not in change['excluded']:
+            return False
+    return True
+
+
+def _choose_again(
+    state: ControlState,
+    change: Change,
+    now_s: float,
+    reason: str,
+) -> list[Any]:
+    line = _log(change, 'candidate given up', now_s, reason)
+    change['excluded'].add(change['candidate'])
+    others = [
+        name
+        for name, entry in state['endpoints'].items()
+        if entry.service == change['service']
+        and name not in change['excluded']
+        and name != change['old']
+    ]
+    if not others:
+        change['excluded'].clear()
+    change['candidate'] = ''
+    change['states'].clear()
+    change['step'] = Choosing(now_s, now_s)
+    return [line]
+
+
+def _log(
+    change: Change,
+    event: str,
+    now_s: float,
+    detail: str = '',
+) -> LogDecision:
+    return LogDecision(
+        event=event,
+        database=change['service'],
+        endpoint=change['old'],
+        outcome=detail or str(change['number']),
+        reason=change['reason'],
+        age_s=now_s - change['started_s'],
+    )
--- /dev/null
+++ b/poplarspoke/control/links.py
@@ -0,0 +1,85 @@
+"""Datagrams between hosts.
+
+A datagram may be lost or repeated; every exchange is a question that its
+sender repeats.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any, Self
+
+from poplarspoke import codec
+from poplarspoke.generated.control import PeerAddresses, PeerDatagram
+from poplarspoke.generated.relay import LogDecision
+
+MAX_DATAGRAM_BYTES = 8192
+
+
+class Links:
+    """Owns the UDP socket of this host; an async context manager."""
+
+    def __init__(
+        self,
+        ip: str,
+        port: int,
+        *,
+        receive: Callable[[Any], None],
+        log: Callable[[LogDecision], None],
+    ) -> None:
+        """Keeps the address to bind and where messages go."""
+        self._ip = ip
+        self._port = port
+        self._receive = receive
+        self._log = log
+        self._addresses: dict[str, tuple[str, int]] = {}
+
+    async def __aenter__(self) -> Self:
+        """Binds the socket."""
+        loop = asyncio.get_running_loop()
+        self._transport, _protocol = await loop.create_datagram_endpoint(
+            lambda: LinkProtocol(self._receive, self._log),
+            local_addr=(self._ip, self._port),
+        )
+        return self
+
+    async def __aexit__(self, *_exc: object) -> None:
+        """Closes the socket."""
+        self._transport.close()
+
+    def set_peers(self, message: PeerAddresses) -> None:
+        """Replaces the addresses of the other hosts."""
+        self._addresses = {}
+        for host in message.hosts:
+            ip, _, port = host.address.rpartition(':')
+            self._addresses[host.name] = (ip, int(port))
+
+    def send(self, host: str, message: Any) -> None:
+        """Sends a message to a host; it may never arrive."""
+        address = self._addresses.get(host)
+        if address is not None:
+            payload = codec.encode(PeerDatagram(message))
+            self._transport.sendto(payload, address)
+
+
+class LinkProtocol(asyncio.DatagramProtocol):
+    """Decodes what the socket receives."""
+
+    def __init__(
+        self,
+        receive: Callable[[Any], None],
+        log: Callable[[LogDecision], None],
+    ) -> None:
+        """Keeps where messages go."""
+        self._receive = receive
+        self._log = log
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        """Passes a message on; one that cannot be read is logged."""
+        if len(data) > MAX_DATAGRAM_BYTES:
+            return
+        try:
+            datagram = codec.decode(PeerDatagram, data)
+        except codec.FormatError as exc:
+            self._log(LogDecision(event='datagram dropped', reason=str(exc)))
+            return
+        self._receive(datagram.body)
--- /dev/null
+++ b/poplarspoke/control/queries.py
@@ -0,0 +1,99 @@
+"""Questions to endpoints outside the sessions of callers."""
+
+from collections.abc import Callable
+from typing import Any, NamedTuple, Self
+
+import anyio
+from anyio.abc import ByteStream, TaskGroup
+from anyio.streams.buffered import BufferedByteReceiveStream
+
+from poplarspoke.generated.control import EndpointState, QueryEndpoint
+from poplarspoke.generated.relay import OpenConnection
+
+# An endpoint with both slots busy answers in some 100 ms.
+TIMEOUT_S = 0.6
+MAX_LINE_BYTES = 4096
+LINE_END = b'\r\n'
+QUERY_ERRORS = (
+    OSError,
+    TimeoutError,
+    ValueError,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    anyio.EndOfStream,
+    anyio.IncompleteRead,
+    anyio.DelimiterNotFound,
+)
+
+
+class QueryCodec(NamedTuple):
+    """Functions that translate questions to endpoints."""
+
+    encode_start: Callable[[OpenConnection], bytes]
+    encode_query: Callable[[int], bytes]
+    decode_state: Callable[[QueryEndpoint, str], EndpointState]
+    create_reader: Callable[[int], Any]
+
+
+class Queries:
+    """Carries out questions to endpoints; an async context manager."""
+
+    def __init__(
+        self,
+        codec: QueryCodec,
+        *,
+        post: Callable[[Any], bool],
+    ) -> None:
+        """Keeps the codec and where answers go."""
+        self._codec = codec
+        self._post = post
+        self._group: TaskGroup
+
+    async def __aenter__(self) -> Self:
+        """Starts the task group of the questions."""
+        self._group = await anyio.create_task_group().__aenter__()
+        return self
+
+    async def __aexit__(self, *_exc: object) -> None:
+        """Ends all questions."""
+        self._group.cancel_scope.cancel()
+        await self._group.__aexit__(None, None, None)
+
+    def send(self, query: QueryEndpoint) -> None:
+        """Starts a question; an endpoint that fails is reported as such."""
+        self._group.start_soon(self._ask, query)
+
+    async def _ask(self, query: QueryEndpoint) -> None:
+        try:
+            with anyio.fail_after(TIMEOUT_S):
+                state = await self._exchange(query)
+        except QUERY_ERRORS:
+            # Whoever asked decides on endpoints without an answer.
+            state = EndpointState(query.service, query.endpoint)
+        self._post(state)
+
+    async def _exchange(self, query: QueryEndpoint) -> EndpointState:
+        host, _, port = query.address.rpartition(':')
+        async with await anyio.connect_tcp(host, int(port)) as stream:
+            opening = OpenConnection(
+                0, query.address, query.service, query.endpoint
+            )
+            await stream.send(self._codec.encode_start(opening))
+            lines = BufferedByteReceiveStream(stream)
+            await self._read(lines)
+            await stream.send(self._codec.encode_query(query.demote_term))
+            answer = await self._read(lines)
+            await _close(stream)
+        return self._codec.decode_state(query, ''.join(answer.rows))
+
+    async def _read(self, lines: BufferedByteReceiveStream) -> Any:
+        reader = self._codec.create_reader(0)
+        while True:
+            line = await lines.receive_until(LINE_END, MAX_LINE_BYTES)
+            answer = reader.read_line(line.decode('latin-1'))
+            if answer is not None:
+                return answer
+
+
+async def _close(stream: ByteStream) -> None:
+    await anyio.aclose_forcefully(stream)
--- /dev/null
+++ b/poplarspoke/control/state.py
@@ -0,0 +1,264 @@
+"""State of the control task of one host.
+
+Times are seconds of the boot clock, which also counts suspensions.
+"""
+
+import random
+from collections.abc import Callable
+from typing import NamedTuple, TypeAlias, TypedDict
+
+from poplarspoke.generated.control import (
+    DutyRecord,
+    EndpointState,
+    HostRecord,
+    PrimaryRecord,
+    Reach,
+    TableRow,
+)
+from poplarspoke.generated.rules import EndpointEntry, HostSettings, Ruleset
+
+RULES = 'rules'
+ENDPOINTS = 'endpoints'
+RECORDS = 'records'
+TABLES = (RULES, ENDPOINTS, RECORDS)
+RULES_KEY = 'config'
+EVACUATION_PREFIX = 'evacuate/'
+
+
+class Decoders(NamedTuple):
+    """Functions that decode rows of other writers; None if unreadable."""
+
+    decode_rules: Callable[[str], Ruleset | None]
+    decode_endpoint: Callable[[str, str], EndpointEntry | None]
+
+
+class Table(TypedDict):
+    """A table of the metadata store as this host knows it.
+
+    Attributes:
+        version: Newest version that was read; it never goes back.
+        rows: Rows by key, with the removed ones.
+        confirmed_s: When the question was sent whose answer confirmed it.
+        complete: Whether the whole table was read once.
+    """
+
+    version: int
+    rows: dict[str, TableRow]
+    confirmed_s: float
+    complete: bool
+
+
+class VersionedDuty(NamedTuple):
+    """Row of the duty with its version; version 0 if it is absent."""
+
+    record: DutyRecord
+    version: int
+
+
+class VersionedPrimary(NamedTuple):
+    """Row of a primary with its version."""
+
+    record: PrimaryRecord
+    version: int
+
+
+class Claiming(NamedTuple):
+    """The claim is being written."""
+
+
+class Releasing(NamedTuple):
+    """The hosts are asked to give up the old primary."""
+
+    next_s: float
+
+
+class Choosing(NamedTuple):
+    """The endpoints are asked for their logs."""
+
+    since_s: float
+    next_s: float
+
+
+class Naming(NamedTuple):
+    """The candidate is being written."""
+
+    sent_s: float
+
+
+class Ordering(NamedTuple):
+    """The platform was told to promote the candidate."""
+
+    since_s: float
+    next_s: float
+
+
+class Confirming(NamedTuple):
+    """The candidate is asked whether it leads."""
+
+    since_s: float
+    next_s: float
+
+
+class Recording(NamedTuple):
+    """The new primary is being written."""
+
+
+Step: TypeAlias = (
+    Claiming | Releasing | Choosing | Naming | Ordering | Confirming | Recording
+)
+
+
+class TakeDuty(NamedTuple):
+    """A write that takes the duty of changing primaries."""
+
+
+class LeaveDuty(NamedTuple):
+    """A write that gives the duty up."""
+
+
+class RegisterHost(NamedTuple):
+    """A write that registers this host."""
+
+
+class NamePrimaries(NamedTuple):
+    """A write of the first primaries."""
+
+
+class AdvanceChange(NamedTuple):
+    """A write that a change of primary waits for."""
+
+    service: str
+
+
+Purpose: TypeAlias = (
+    TakeDuty | LeaveDuty | RegisterHost | NamePrimaries | AdvanceChange
+)
+
+
+class Change(TypedDict):
+    """A change of primary that this host carries out.
+
+    Attributes:
+        step: What the change waits for.
+        claimed_s: When the claim was acknowledged.
+        claim_version: Version of the claim in the store.
+        released: Hosts that have given up the old primary.
+        states: Newest answers of the endpoints.
+        excluded: Endpoints that could not take over.
+        demote_term: Term that the old primary is demoted with, 0 before.
+    """
+
+    service: str
+    old: str
+    reason: str
+    number: int
+    step: Step
+    started_s: float
+    claimed_s: float
+    claim_version: int
+    released: set[str]
+    states: dict[str, EndpointState]
+    candidate: str
+    excluded: set[str]
+    demote_term: int
+
+
+class Report(TypedDict):
+    """A primary that should be replaced, as seen by this host.
+
+    Attributes:
+        since_s: When the reason was first seen.
+        heard_s: When the holder of the duty last answered.
+        next_s: When it is reported again.
+        probed_s: When this host, as the holder, asked the others; 0 before.
+        reach: Answers of the other hosts.
+    """
+
+    service: str
+    endpoint: str
+    reason: str
+    since_s: float
+    heard_s: float
+    next_s: float
+    probed_s: float
+    reach: dict[str, Reach]
+
+
+class ControlState(TypedDict):
+    """State of the control task.
+
+    Attributes:
+        released: Change number up to which each primary was given up.
+        absent_since_s: When an endpoint's row was first missing.
+        silent: Endpoints that do not answer this host, with the start.
+        writes: What the pending writes are for, by their number.
+        duty_seen_s: When this host took the duty; it waits before it acts.
+        removed_hosts: When the row of a host was seen to go.
+    """
+
+    settings: HostSettings
+    incarnation: int
+    rng: random.Random
+    decoders: Decoders
+    tables: dict[str, Table]
+    ruleset: Ruleset
+    endpoints: dict[str, EndpointEntry]
+    evacuated: tuple[str, ...]
+    hosts: dict[str, HostRecord]
+    duty: VersionedDuty
+    primaries: dict[str, VersionedPrimary]
+    released: dict[str, int]
+    absent_since_s: dict[str, float]
+    silent: dict[str, float]
+    reports: dict[str, Report]
+    changes: dict[str, Change]
+    writes: dict[int, Purpose]
+    next_write: int
+    duty_wait_s: float
+    bootstrap_s: float
+    register_s: float
+    view_s: float
+    leaving: bool
+    ready: bool
+    removed_hosts: dict[str, float]
+
+
+def create_state(
+    settings: HostSettings,
+    decoders: Decoders,
+    *,
+    rng: random.Random,
+    incarnation: int,
+) -> ControlState:
+    """Returns the state of a host that has read nothing yet."""
+    return ControlState(
+        settings=settings,
+        incarnation=incarnation,
+        rng=rng,
+        decoders=decoders,
+        tables={name: _create_table() for name in TABLES},
+        ruleset=Ruleset(),
+        endpoints={},
+        evacuated=(),
+        hosts={},
+        duty=VersionedDuty(DutyRecord(), 0),
+        primaries={},
+        released={},
+        absent_since_s={},
+        silent={},
+        reports={},
+        changes={},
+        writes={},
+        next_write=1,
+        duty_wait_s=0,
+        bootstrap_s=0,
+        register_s=0,
+        view_s=0,
+        leaving=False,
+        ready=False,
+        removed_hosts={},
+    )
+
+
+def _create_table() -> Table:
+    return Table(version=0, rows={}, confirmed_s=0, complete=False)
--- /dev/null
+++ b/poplarspoke/control/tables.py
@@ -0,0 +1,259 @@
+"""Applies rows of the metadata store to what this host knows.
+
+Rows come from the store or from a peer that has read them. A version never
+goes back. A row that cannot be read is left out and logged; the others hold.
+"""
+
+import json
+from typing import Any
+
+from poplarspoke import codec
+from poplarspoke.control.state import (
+    ENDPOINTS,
+    EVACUATION_PREFIX,
+    RECORDS,
+    RULES,
+    RULES_KEY,
+    ControlState,
+    Table,
+    VersionedDuty,
+    VersionedPrimary,
+)
+from poplarspoke.generated.control import (
+    DutyRecord,
+    HostRecord,
+    PeerAddresses,
+    PeerView,
+    PrimaryPhase,
+    PrimaryRecord,
+    ShowView,
+    TableRow,
+    TableRows,
+    TableView,
+)
+from poplarspoke.generated.relay import (
+    EndpointsKnown,
+    HostsKnown,
+    LeasesRenewed,
+    LogDecision,
+    PrimaryLease,
+)
+from poplarspoke.generated.rules import EndpointEntry
+from poplarspoke.tasks import ToTask
+
+# A host may use a primary for so long after it asked the store. It bridges
+# most outages of the store, and is the longest that a change of primary waits
+# for a host that does not answer.
+LEASE_S = 8.0
+HOST_PREFIX = 'host/'
+PRIMARY_PREFIX = 'primary/'
+DUTY_KEY = 'duty'
+# An entry that lapsed while the store was away is back within 2 s of its
+# return; until then the endpoint is kept.
+ABSENT_S = 2.5
+RELAY = 'relay'
+
+
+def apply_rows(
+    state: ControlState,
+    message: TableRows,
+    now_s: float,
+) -> list[Any]:
+    """Applies an answer of the store, or of a peer, to one table."""
+    table = state['tables'][message.table]
+    if message.version < table['version']:
+        return []
+    changed = _merge(table, message)
+    table['version'] = message.version
+    table['confirmed_s'] = max(table['confirmed_s'], message.asked_s)
+    outgoing: list[Any] = []
+    for row in changed:
+        outgoing.extend(_apply_row(state, message.table, row, now_s))
+    if changed and message.table != RECORDS:
+        outgoing.extend(list_endpoints(state, now_s))
+    if message.table == RECORDS:
+        if changed:
+            outgoing.extend(_list_hosts(state))
+        outgoing.append(list_leases(state))
+    return outgoing
+
+
+def list_leases(state: ControlState) -> ToTask:
+    """Returns the leases that this host holds now."""
+    settings = state['settings']
+    until_s = state['tables'][RECORDS]['confirmed_s'] + LEASE_S
+    leases: list[PrimaryLease] = []
+    for service, known in state['primaries'].items():
+        record = known.record
+        if settings.name not in state['hosts']:
+            break
+        if record.phase is not PrimaryPhase.STABLE:
+            continue
+        if record.change < state['released'].get(service, 0):
+            continue
+        leases.append(PrimaryLease(service, record.endpoint, until_s))
+    return ToTask(RELAY, LeasesRenewed(tuple(leases)))
+
+
+def list_endpoints(state: ControlState, now_s: float) -> list[Any]:
+    """Returns the endpoints that may be used; absent ones stay for a while."""
+    rows = state['tables'][ENDPOINTS]['rows']
+    entries: list[EndpointEntry] = []
+    for name in sorted(state['endpoints']):
+        row = rows.get(name)
+        if row is not None and not row.removed:
+            state['absent_since_s'].pop(name, None)
+            entries.append(state['endpoints'][name])
+            continue
+        since_s = state['absent_since_s'].setdefault(name, now_s)
+        if now_s - since_s < ABSENT_S:
+            entries.append(state['endpoints'][name])
+            continue
+        state['endpoints'].pop(name)
+        state['absent_since_s'].pop(name)
+    known = EndpointsKnown(tuple(entries), state['evacuated'])
+    return [ToTask(RELAY, known)]
+
+
+def show_view(
+    state: ControlState,
+    request: ShowView,
+    now_s: float,
+) -> PeerView:
+    """Returns the rows that are newer than what a peer has."""
+    versions = (request.rules, request.endpoints, request.records)
+    views: list[TableView] = []
+    names = (RULES, ENDPOINTS, RECORDS)
+    for name, version in zip(names, versions, strict=True):
+        table = state['tables'][name]
+        if not table['complete']:
+            continue
+        rows = tuple(
+            row for row in table['rows'].values() if row.version > version
+        )
+        age_s = now_s - table['confirmed_s']
+        views.append(TableView(name, table['version'], age_s, rows))
+    return PeerView(state['settings'].name, tuple(views))
+
+
+def _merge(table: Table, message: TableRows) -> list[TableRow]:
+    changed: list[TableRow] = []
+    seen: set[str] = set()
+    for row in message.rows:
+        seen.add(row.key)
+        known = table['rows'].get(row.key)
+        if known is not None and known.version >= row.version:
+            continue
+        table['rows'][row.key] = row
+        changed.append(row)
+    if message.complete:
+        table['complete'] = True
+        for key, known in list(table['rows'].items()):
+            if key in seen or known.removed:
+                continue
+            gone = TableRow(key=key, version=message.version, removed=True)
+            table['rows'][key] = gone
+            changed.append(gone)
+    return changed
+
+
+def _apply_row(
+    state: ControlState,
+    table: str,
+    row: TableRow,
+    now_s: float,
+) -> list[Any]:
+    if table == ENDPOINTS:
+        return _apply_endpoint(state, row)
+    if table == RULES:
+        return _apply_rule(state, row)
+    return _apply_record(state, row, now_s)
+
+
+def _apply_endpoint(state: ControlState, row: TableRow) -> list[Any]:
+    if row.removed:
+        return []
+    entry = state['decoders'].decode_endpoint(row.key, row.content)
+    if entry is None:
+        return [_log_unreadable(ENDPOINTS, row)]
+    state['endpoints'][row.key] = entry
+    return []
+
+
+def _apply_rule(state: ControlState, row: TableRow) -> list[Any]:
+    if row.key.startswith(EVACUATION_PREFIX):
+        zone = row.key.removeprefix(EVACUATION_PREFIX)
+        zones = set(state['evacuated']) - {zone}
+        if not row.removed:
+            zones.add(zone)
+        state['evacuated'] = tuple(sorted(zones))
+        return []
+    if row.key != RULES_KEY or row.removed:
+        return []
+    ruleset = state['decoders'].decode_rules(row.content)
+    if ruleset is None:
+        return [_log_unreadable(RULES, row)]
+    if ruleset.version <= state['ruleset'].version:
+        return []
+    state['ruleset'] = ruleset
+    line = LogDecision(
+        event='configuration in force',
+        outcome=str(ruleset.version),
+    )
+    return [ToTask(RELAY, ruleset), line]
+
+
+def _apply_record(
+    state: ControlState,
+    row: TableRow,
+    now_s: float,
+) -> list[Any]:
+    if row.key.startswith(HOST_PREFIX):
+        name = row.key.removeprefix(HOST_PREFIX)
+        state['hosts'].pop(name, None)
+        if row.removed:
+            state['removed_hosts'][name] = now_s
+            return []
+        state['removed_hosts'].pop(name, None)
+        state['hosts'][name] = codec.parse(HostRecord, _load(row))
+        return []
+    if row.key == DUTY_KEY:
+        record = codec.parse(DutyRecord, _load(row))
+        state['duty'] = VersionedDuty(record, row.version)
+        return []
+    if not row.key.startswith(PRIMARY_PREFIX):
+        return []
+    service = row.key.removeprefix(PRIMARY_PREFIX)
+    primary = codec.parse(PrimaryRecord, _load(row))
+    state['primaries'][service] = VersionedPrimary(primary, row.version)
+    line = LogDecision(
+        event=f'primary {primary.phase.name.lower()}',
+        database=service,
+        endpoint=primary.endpoint,
+        outcome=str(primary.change),
+        reason=primary.reason,
+        age_s=now_s - state['tables'][RECORDS]['confirmed_s'],
+    )
+    return [line]
+
+
+def _load(row: TableRow) -> Any:
+    return json.loads(row.content)
+
+
+def _list_hosts(state: ControlState) -> list[Any]:
+    own = state['settings'].name
+    peers = tuple(sorted(name for name in state['hosts'] if name != own))
+    records = tuple(state['hosts'][name] for name in peers)
+    return [
+        ToTask(RELAY, HostsKnown(len(state['hosts']), peers)),
+        ToTask('links', PeerAddresses(records)),
+    ]
+
+
+def _log_unreadable(table: str, row: TableRow) -> LogDecision:
+    return LogDecision(
+        event='row left out',
+        outcome=f'{table} {row.key}',
+        reason='it cannot be read',
+    )
--- /dev/null
+++ b/poplarspoke/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the users' platform: names and encodings, no decisions."""
--- /dev/null
+++ b/poplarspoke/platform/__main__.py
@@ -0,0 +1,75 @@
+"""Runs one host on the users' platform."""
+
+import os
+import random
+import sys
+import time
+
+import anyio
+
+from poplarspoke import errors, logs, session_host
+from poplarspoke.control.queries import QueryCodec
+from poplarspoke.control.state import Decoders
+from poplarspoke.platform import boot, rows, statements
+from poplarspoke.platform.metadata import Metadata
+from poplarspoke.relay.transport import Codec
+from poplarspoke.status import ExitStatus
+
+READY_PATH = '/readiness'
+
+
+def main() -> ExitStatus:
+    """Reads the settings and serves until the platform stops the process."""
+    path = os.environ.get(boot.SETTINGS_VARIABLE, '')
+    try:
+        surroundings = create_surroundings(path)
+    except errors.PoplarspokeError as exc:
+        sys.stderr.write(f'poplarspoke: error: {exc}\n')
+        return ExitStatus.REFUSED
+    anyio.run(session_host.run, surroundings)
+    return ExitStatus.SUCCESS
+
+
+def create_surroundings(path: str) -> session_host.Surroundings:
+    """Returns what a host needs from the platform.
+
+    Raises:
+        boot.BootError: The settings file cannot be used.
+    """
+    settings = boot.read_settings(path)
+    log = logs.Log(sys.stdout, wall_s=time.time)
+    return session_host.Surroundings(
+        settings=settings,
+        codec=Codec(
+            decode_caller_line=statements.decode_caller_line,
+            encode_answer=statements.encode_answer,
+            encode_started=statements.encode_started,
+            encode_refusal=statements.encode_refusal,
+            encode_start=statements.encode_start,
+            encode_statement=statements.encode_statement,
+            create_reader=statements.AnswerReader,
+            error=statements.ProtocolError,
+            max_message_bytes=statements.MAX_MESSAGE_BYTES,
+        ),
+        query_codec=QueryCodec(
+            encode_start=statements.encode_start,
+            encode_query=statements.encode_state_query,
+            decode_state=statements.decode_state,
+            create_reader=statements.AnswerReader,
+        ),
+        decoders=Decoders(rows.decode_rules, rows.decode_endpoint),
+        connect=lambda: Metadata(
+            settings.store_address,
+            settings.duty_address,
+        ),
+        ready_path=READY_PATH,
+        # Unlike the monotonic clock, it counts suspensions of the host.
+        now_s=lambda: time.clock_gettime(time.CLOCK_BOOTTIME),
+        wall_s=time.time,
+        rng=random.Random(),
+        log=log.bind(host=settings.name, zone=settings.zone),
+    )
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/poplarspoke/platform/boot.py
@@ -0,0 +1,73 @@
+"""Reads the settings file that the platform writes for each process.
+
+Fields that this host does not use are ignored, since new ones may come.
+"""
+
+from collections.abc import Mapping
+from typing import Any
+
+from poplarspoke import errors
+from poplarspoke.generated.common import ErrorCode
+from poplarspoke.generated.rules import HostSettings
+
+SETTINGS_VARIABLE = 'POPLARSPOKE_BOOT'
+PEER_PORT_OFFSET = 0
+MS_PER_S = 1000
+
+
+class BootError(errors.PoplarspokeError):
+    """The settings file cannot be used."""
+
+    code = ErrorCode.SETTINGS_REFUSED
+
+
+def read_settings(path: str) -> HostSettings:
+    """Reads the settings file.
+
+    Args:
+        path: File that ``POPLARSPOKE_BOOT`` names.
+
+    Raises:
+        BootError: The file is missing, is no YAML, or lacks a field.
+    """
+    # The reader is needed at the start only; a daemon does not keep it.
+    import yaml  # noqa: PLC0415, WPS433
+
+    try:
+        with open(path, encoding='utf-8') as source:
+            fields = yaml.safe_load(source)
+        return decode_settings(fields)
+    except (OSError, yaml.YAMLError) as exc:
+        raise BootError(f'{path} cannot be read: {exc}') from exc
+    except (KeyError, TypeError, ValueError, IndexError) as exc:
+        raise BootError(f'{path} lacks or misstates {exc}') from exc
+
+
+def decode_settings(fields: Mapping[str, Any]) -> HostSettings:
+    """Returns the settings that the decoded file holds.
+
+    Raises:
+        KeyError: A field is missing.
+    """
+    bounds = fields['bounds']
+    listen = fields['listen']
+    # The first and last of a range of ports, not a list of ports.
+    first_port = int(fields['internalPorts'][0])
+    return HostSettings(
+        name=fields['nodeName'],
+        zone=fields['zone'],
+        ip=fields['ip'],
+        caller_address=listen['front'],
+        ready_address=listen['ready'],
+        peer_port=first_port + PEER_PORT_OFFSET,
+        control_address=listen['control'],
+        seeds=tuple(fields.get('seeds') or ()),
+        store_address=fields['platform']['address'],
+        # "cloud" is the interface that changes of primary are ordered at.
+        duty_address=fields['cloud']['address'],
+        grace_s=float(bounds['graceS']),
+        drain_s=bounds['drainMs'] / MS_PER_S,
+        quota_window_s=float(bounds['quotaWindowS']),
+        quota_excess=float(bounds['quotaOver']),
+        quota_slack=float(bounds['quotaSlack']),
+    )
--- /dev/null
+++ b/poplarspoke/platform/metadata.py
@@ -0,0 +1,233 @@
+"""Client of the platform's metadata store and of its duty calls."""
+
+import base64
+import json
+from collections.abc import Mapping
+from typing import Any, Self
+from urllib.parse import urlencode
+
+from poplarspoke import errors, web
+from poplarspoke.control.state import ENDPOINTS, RECORDS, RULES
+from poplarspoke.generated.common import ErrorCode
+from poplarspoke.generated.control import (
+    OrderPromotion,
+    PromotionAnswered,
+    RecordsWritten,
+    RecordWrite,
+    TableRow,
+    TableRows,
+    WriteRecords,
+)
+from poplarspoke.platform.rows import ENDPOINTS_TABLE, RULES_TABLE
+
+# Names of the tables on the platform.
+TABLE_NAMES = {
+    RULES: RULES_TABLE,
+    ENDPOINTS: ENDPOINTS_TABLE,
+    RECORDS: 'poplarspoke',
+}
+PAGE_ROWS = 500
+MS_PER_S = 1000
+HTTP_OK = 200
+HTTP_GONE = 410
+HTTP_CONDITION_FAILED = 412
+# Appended to a key for the first key after it.
+NEXT_KEY = '\0'
+
+
+class MetadataError(errors.PoplarspokeError):
+    """The platform refused a call or gave no whole answer."""
+
+    code = ErrorCode.STORE_UNAVAILABLE
+
+
+class Metadata:
+    """One connection to the metadata store; an async context manager."""
+
+    def __init__(self, store_address: str, duty_address: str) -> None:
+        """Keeps the addresses; it connects with the first call."""
+        self._store_address = store_address
+        self._duty_address = duty_address
+        self._connection: web.HttpConnection | None = None
+
+    async def __aenter__(self) -> Self:
+        """Returns the client."""
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        """Closes the connection."""
+        if self._connection is not None:
+            await self._connection.__aexit__(*exc)
+
+    async def read_table(self, table: str, *, timeout_s: float) -> TableRows:
+        """Reads a whole table.
+
+        Raises:
+            errors.PoplarspokeError: No whole answer came.
+        """
+        rows: list[TableRow] = []
+        start = ''
+        # Pages are read at different moments; the watch goes on from the
+        # first one, so that it repeats what changed in between.
+        version = 0
+        while True:
+            query = {
+                'table': TABLE_NAMES[table],
+                'part': '',
+                'from': start,
+                'limit': PAGE_ROWS,
+            }
+            answer = await self._get('/rows-get', query, timeout_s)
+            version = version or answer['ver']
+            rows.extend(map(_decode_row, answer['rows']))
+            if not answer['hasMore'] or not answer['rows']:
+                return TableRows(table, tuple(rows), version)
+            start = rows[-1].key + NEXT_KEY
+
+    async def watch_table(
+        self,
+        table: str,
+        after: int,
+        *,
+        wait_s: float,
+        timeout_s: float,
+    ) -> TableRows | None:
+        """Returns rows changed after a version; None if history is gone.
+
+        Raises:
+            errors.PoplarspokeError: No whole answer came.
+        """
+        query = {
+            'table': TABLE_NAMES[table],
+            'after': after,
+            'waitMs': int(wait_s * MS_PER_S),
+        }
+        path = f'/rows-feed?{urlencode(query)}'
+        response = await self._send('GET', path, b'', timeout_s)
+        if response.status == HTTP_GONE:
+            return None
+        answer = _read_answer(response)
+        rows = tuple(map(_decode_row, answer['rows']))
+        return TableRows(table, rows, answer['ver'])
+
+    async def write(
+        self,
+        change: WriteRecords,
+        *,
+        timeout_s: float,
+    ) -> RecordsWritten:
+        """Writes rows atomically if their versions are as expected.
+
+        Raises:
+            errors.PoplarspokeError: No whole answer came; the write may have
+                taken effect.
+        """
+        body = {
+            'expectedRev': [_name_row(write) for write in change.writes],
+            'setKeys': [
+                _encode_row(write)
+                for write in change.writes
+                if not write.removed
+            ],
+            'deleteKeys': [
+                _name_key(write) for write in change.writes if write.removed
+            ],
+        }
+        payload = json.dumps(body).encode()
+        response = await self._send('POST', '/rows-tx', payload, timeout_s)
+        if response.status == HTTP_CONDITION_FAILED:
+            current = json.loads(response.body)['rows']
+            rows = tuple(map(_decode_row, current))
+            return RecordsWritten(change.correlation, known=True, rows=rows)
+        version = _read_answer(response)['ver']
+        return RecordsWritten(
+            change.correlation,
+            accepted=True,
+            known=True,
+            version=version,
+            rows=tuple(
+                TableRow(write.key, version, write.removed, write.content)
+                for write in change.writes
+            ),
+        )
+
+    async def promote(
+        self,
+        order: OrderPromotion,
+        *,
+        timeout_s: float,
+    ) -> PromotionAnswered:
+        """Orders a promotion.
+
+        Raises:
+            errors.PoplarspokeError: No whole answer came; the order may have
+                taken effect.
+        """
+        body = {'service': order.service, 'id': order.endpoint}
+        request = web.Request(
+            'POST',
+            '/promote',
+            (
+                web.Header('X-Duty-Holder', order.holder),
+                web.Header('X-Fencing-Token', str(order.token)),
+            ),
+            json.dumps(body).encode(),
+        )
+        async with await web.connect(self._duty_address) as connection:
+            response = await connection.send(request, timeout_s=timeout_s)
+        return PromotionAnswered(order.service, order.endpoint, response.status)
+
+    async def _get(
+        self,
+        path: str,
+        query: Mapping[str, Any],
+        timeout_s: float,
+    ) -> Any:
+        target = f'{path}?{urlencode(query)}'
+        return _read_answer(await self._send('GET', target, b'', timeout_s))
+
+    async def _send(
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        timeout_s: float,
+    ) -> web.Response:
+        if self._connection is None:
+            self._connection = await web.connect(self._store_address)
+        request = web.Request(method, path, body=body)
+        return await self._connection.send(request, timeout_s=timeout_s)
+
+
+def _read_answer(response: web.Response) -> Any:
+    if response.status != HTTP_OK:
+        raise MetadataError(f'the store answered {response.status}')
+    return json.loads(response.body)
+
+
+def _decode_row(fields: Mapping[str, Any]) -> TableRow:
+    removed = bool(fields.get('tombstone'))
+    content = ''
+    if not removed and 'value' in fields:
+        raw = base64.b64decode(fields['value'])
+        content = raw.decode('utf-8', 'replace')
+    return TableRow(
+        key=fields['key'],
+        # A row that does not exist is named with version 0.
+        version=fields.get('ver', 0),
+        removed=removed or 'value' not in fields,
+        content=content,
+    )
+
+
+def _name_key(write: RecordWrite) -> dict[str, Any]:
+    return {'table': TABLE_NAMES[RECORDS], 'part': '', 'key': write.key}
+
+
+def _name_row(write: RecordWrite) -> dict[str, Any]:
+    return {**_name_key(write), 'ver': write.expected}
+
+
+def _encode_row(write: RecordWrite) -> dict[str, Any]:
+    content = base64.b64encode(write.content.encode()).decode()
+    return {**_name_key(write), 'value': content}
--- /dev/null
+++ b/poplarspoke/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Relays statements of caller sessions to database endpoints."""
--- /dev/null
+++ b/poplarspoke/relay/decisions.py
@@ -0,0 +1,446 @@
+"""Decisions of the relay, by the type of the message.
+
+``decide`` reads no clock and no socket. The messages that it returns are
+carried out by ``transport``, in their order.
+"""
+
+import functools
+from typing import Any
+
+from poplarspoke.generated.common import Tick
+from poplarspoke.generated.control import AskReach, Reach
+from poplarspoke.generated.rates import BorrowTokens, LendTokens
+from poplarspoke.generated.relay import (
+    AnswerCode,
+    BeginTransaction,
+    CommitTransaction,
+    EndpointAnswered,
+    EndpointLost,
+    EndpointReady,
+    EndpointSilent,
+    EndpointsKnown,
+    ExecutePrepared,
+    ForgetPrepared,
+    HostsKnown,
+    LeaseRevoked,
+    LeasesRenewed,
+    PrepareStatement,
+    ReadItem,
+    RefuseSession,
+    ReleaseIdle,
+    RollBackTransaction,
+    SessionClosed,
+    SessionOpened,
+    SessionPhase,
+    SessionStarted,
+    SetValue,
+    ShutDown,
+    StartSession,
+    UnknownStatement,
+    WriteItem,
+)
+from poplarspoke.generated.rules import Ruleset
+from poplarspoke.relay import operations, pool, quotas, statements
+from poplarspoke.relay.state import (
+    NO_CONNECTION,
+    RelayState,
+    Session,
+    create_endpoint,
+    create_session,
+)
+from poplarspoke.tasks import ToHost, ToTask
+
+# Statements that a caller may send without waiting for answers.
+MAX_BACKLOG = 64
+# An endpoint that leaves statements unanswered for so long is silent; the
+# longest work is 0.17 s and a slow endpoint takes five times as long.
+SILENCE_S = 0.9
+# New connections that no answer came to; TCP alone would wait for seconds.
+OPEN_TIMEOUT_S = 0.6
+# Sessions are closed spread over this time at a shutdown.
+CLOSE_SPREAD_S = 2.5
+# Part of the grace period that open transactions have to end.
+TRANSACTION_PART = 0.5
+# Transactions are ended this much later than the platform's bound allows.
+IDLE_MARGIN_S = 0.2
+
+
+@functools.singledispatch
+def decide(message: Any, state: RelayState, now_s: float) -> list[Any]:
+    """Returns what follows from a message; changes the state in place."""
+    raise TypeError(f'{type(message).__name__} is no message of the relay')
+
+
+@decide.register
+def _(message: SessionOpened, state: RelayState, now_s: float) -> list[Any]:
+    session = create_session(message.session, now_s)
+    state['sessions'][message.session] = session
+    return []
+
+
+@decide.register
+def _(message: SessionClosed, state: RelayState, now_s: float) -> list[Any]:
+    session = state['sessions'].get(message.session)
+    if session is None:
+        return []
+    return operations.end_session(state, session)
+
+
+@decide.register
+def _(message: StartSession, state: RelayState, now_s: float) -> list[Any]:
+    session = state['sessions'].get(message.session)
+    if session is None:
+        return []
+    if session['started']:
+        return operations.end_session(state, session)
+    route = state['routes'].get(message.database)
+    code = AnswerCode.DONE
+    if route is None:
+        code = AnswerCode.UNKNOWN_DATABASE
+    elif not route.open and message.key not in state['key_owners']:
+        code = AnswerCode.KEY_REFUSED
+    if not state['rules'].version:
+        code = AnswerCode.BUSY
+    if code is not AnswerCode.DONE:
+        state['sessions'].pop(message.session)
+        return [RefuseSession(message.session, code, 'not run')]
+    session['started'] = True
+    session['database'] = message.database
+    session['key'] = message.key
+    return [SessionStarted(message.session)]
+
+
+@decide.register
+def _(
+    message: BeginTransaction
+    | CommitTransaction
+    | RollBackTransaction
+    | ReadItem
+    | WriteItem
+    | SetValue
+    | PrepareStatement
+    | ExecutePrepared
+    | ForgetPrepared
+    | UnknownStatement,
+    state: RelayState,
+    now_s: float,
+) -> list[Any]:
+    session = state['sessions'].get(message.session)
+    if session is None:
+        return []
+    if not session['started'] or len(session['backlog']) > MAX_BACKLOG:
+        return operations.end_session(state, session)
+    session['backlog'].append(message)
+    return _run_backlog(state, session, now_s)
+
+
+@decide.register
+def _(message: EndpointReady, state: RelayState, now_s: float) -> list[Any]:
+    connection = state['connections'].get(message.connection)
+    if connection is None:
+        return []
+    endpoint = state['endpoints'].get(connection['endpoint'])
+    if endpoint is not None:
+        endpoint['failures'] = 0
+        endpoint['silent_since_s'] = 0
+        endpoint['heard_s'] = now_s
+    return operations.begin_connection(state, connection, now_s)
+
+
+@decide.register
+def _(message: EndpointAnswered, state: RelayState, now_s: float) -> list[Any]:
+    connection = state['connections'].get(message.connection)
+    if connection is None:
+        return []
+    session = state['sessions'].get(connection['session'])
+    outgoing = operations.take_answer(state, connection, message, now_s)
+    if session is not None:
+        outgoing.extend(_run_backlog(state, session, now_s))
+    return outgoing
+
+
+@decide.register
+def _(message: EndpointLost, state: RelayState, now_s: float) -> list[Any]:
+    connection = pool.forget(state, message.connection)
+    if connection is None:
+        return []
+    outgoing: list[Any] = []
+    name = connection['endpoint']
+    endpoint = state['endpoints'].get(name)
+    if message.code is AnswerCode.TOO_MANY and endpoint is not None:
+        request = pool.refuse_room(state, name, now_s)
+        outgoing.extend(ToHost(peer, request) for peer in state['peers'])
+    elif endpoint is not None and not message.connected:
+        _note_failure(state, name, now_s)
+    session = state['sessions'].get(connection['session'])
+    if message.code is AnswerCode.TOO_MANY and session is not None:
+        outgoing.extend(
+            _wait_for_room(state, session, connection['connection'], now_s)
+        )
+        return outgoing
+    reason = f'connection to {name} was lost'
+    outgoing.extend(
+        operations.lose_connection(state, connection, now_s, reason)
+    )
+    if session is not None:
+        outgoing.extend(_run_backlog(state, session, now_s))
+    return outgoing
+
+
+@decide.register
+def _(message: Ruleset, state: RelayState, now_s: float) -> list[Any]:
+    if message.version <= state['rules'].version:
+        return []
+    state['rules'] = message
+    state['routes'] = {route.database: route for route in message.routes}
+    state['max_connections'] = {
+        service.name: service.max_connections for service in message.services
+    }
+    owners: dict[str, str] = {}
+    for workspace in message.workspaces:
+        for key in workspace.keys:
+            owners[key] = workspace.name
+    state['key_owners'] = owners
+    quotas.set_workspaces(state, message.workspaces, now_s)
+    return []
+
+
+@decide.register
+def _(message: EndpointsKnown, state: RelayState, now_s: float) -> list[Any]:
+    outgoing: list[Any] = []
+    known = {entry.endpoint: entry for entry in message.endpoints}
+    for name in set(state['endpoints']) - set(known):
+        outgoing.extend(_remove_endpoint(state, name, now_s))
+    for name, entry in known.items():
+        endpoint = state['endpoints'].get(name)
+        if endpoint is None:
+            endpoint = create_endpoint(entry)
+            state['endpoints'][name] = endpoint
+        leaves = entry.draining or entry.zone in message.evacuated
+        if not leaves:
+            endpoint['leaving_since_s'] = 0
+        elif not endpoint['leaving_since_s']:
+            endpoint['leaving_since_s'] = now_s
+        endpoint['entry'] = entry
+    return outgoing
+
+
+@decide.register
+def _(message: HostsKnown, state: RelayState, now_s: float) -> list[Any]:
+    state['hosts'] = message.hosts
+    state['peers'] = message.peers
+    quotas.set_hosts(state, now_s)
+    return []
+
+
+@decide.register
+def _(message: LeasesRenewed, state: RelayState, now_s: float) -> list[Any]:
+    before = state['leases']
+    state['leases'] = {lease.service: lease for lease in message.leases}
+    outgoing: list[Any] = []
+    for service, lease in state['leases'].items():
+        known = before.get(service)
+        if known is None or known.endpoint != lease.endpoint:
+            outgoing.extend(operations.place_waiting(state, service, now_s))
+    return outgoing
+
+
+@decide.register
+def _(message: LeaseRevoked, state: RelayState, now_s: float) -> list[Any]:
+    state['leases'].pop(message.service, None)
+    return []
+
+
+@decide.register
+def _(message: BorrowTokens, state: RelayState, now_s: float) -> list[Any]:
+    return [quotas.lend(state, message, now_s)]
+
+
+@decide.register
+def _(message: LendTokens, state: RelayState, now_s: float) -> list[Any]:
+    if not quotas.take_loan(state, message, now_s):
+        return []
+    return operations.serve_rate(state, message.workspace, now_s)
+
+
+@decide.register
+def _(message: ReleaseIdle, state: RelayState, now_s: float) -> list[Any]:
+    return pool.give_room(state, message.endpoint)
+
+
+@decide.register
+def _(message: AskReach, state: RelayState, now_s: float) -> list[Any]:
+    endpoint = state['endpoints'].get(message.endpoint)
+    heard_ago_s = float(-1)
+    silent = False
+    if endpoint is not None:
+        silent = bool(endpoint['silent_since_s'])
+        if endpoint['heard_s']:
+            heard_ago_s = now_s - endpoint['heard_s']
+    host = state['settings'].name
+    reply = Reach(host, message.endpoint, silent, heard_ago_s)
+    return [ToHost(message.sender, reply)]
+
+
+@decide.register
+def _(message: ShutDown, state: RelayState, now_s: float) -> list[Any]:
+    state['leaving_s'] = now_s
+    return []
+
+
+@decide.register
+def _(message: Tick, state: RelayState, now_s: float) -> list[Any]:
+    outgoing: list[Any] = []
+    for number in list(state['operations']):
+        operation = state['operations'].get(number)
+        if operation is None:
+            continue
+        outgoing.extend(operations.check_time(state, operation, now_s))
+        session = state['sessions'].get(number)
+        if session is not None and number not in state['operations']:
+            outgoing.extend(_run_backlog(state, session, now_s))
+    outgoing.extend(_check_connections(state, now_s))
+    outgoing.extend(pool.close_unused(state, now_s))
+    quotas.expire_loans(state, now_s)
+    outgoing.extend(_check_sessions(state, now_s))
+    return outgoing
+
+
+def is_drained(state: RelayState) -> bool:
+    """Returns whether no caller is connected any more."""
+    return not state['sessions']
+
+
+def _run_backlog(
+    state: RelayState,
+    session: Session,
+    now_s: float,
+) -> list[Any]:
+    outgoing: list[Any] = []
+    number = session['session']
+    while session['backlog']:
+        if number in state['operations'] or number not in state['sessions']:
+            break
+        session['used_s'] = now_s
+        statement = session['backlog'].popleft()
+        outgoing.extend(statements.run(statement, state, session, now_s))
+    return outgoing
+
+
+def _wait_for_room(
+    state: RelayState,
+    session: Session,
+    connection: int,
+    now_s: float,
+) -> list[Any]:
+    operation = state['operations'].get(session['session'])
+    if operation is None or operation['connection'] != connection:
+        return []
+    operation['connection'] = NO_CONNECTION
+    operation['not_before_s'] = now_s + pool.FULL_WAIT_S
+    operation['attempts'] -= 1
+    return []
+
+
+def _note_failure(state: RelayState, name: str, now_s: float) -> None:
+    endpoint = state['endpoints'][name]
+    endpoint['failures'] += 1
+    wait_s = operations.AVOID_S * 2 ** min(endpoint['failures'], 10)
+    endpoint['avoid_until_s'] = now_s + min(wait_s, operations.MAX_AVOID_S)
+    if not endpoint['silent_since_s']:
+        endpoint['silent_since_s'] = now_s
+
+
+def _remove_endpoint(
+    state: RelayState,
+    name: str,
+    now_s: float,
+) -> list[Any]:
+    outgoing: list[Any] = []
+    endpoint = state['endpoints'][name]
+    for number in list(endpoint['connections']):
+        connection = state['connections'][number]
+        if connection['session']:
+            continue
+        outgoing.append(pool.close(state, number))
+    state['endpoints'].pop(name)
+    return outgoing
+
+
+def _check_connections(state: RelayState, now_s: float) -> list[Any]:
+    outgoing: list[Any] = []
+    for number in list(state['connections']):
+        connection = state['connections'].get(number)
+        if connection is None:
+            continue
+        waited_s = now_s - connection['sent_s']
+        if not connection['ready'] and waited_s > OPEN_TIMEOUT_S:
+            outgoing.extend(_fail_connection(state, number, now_s))
+            continue
+        if connection['in_flight'] is None or waited_s < SILENCE_S:
+            continue
+        endpoint = state['endpoints'].get(connection['endpoint'])
+        if endpoint is None or endpoint['heard_s'] > connection['sent_s']:
+            continue
+        if not endpoint['silent_since_s']:
+            endpoint['silent_since_s'] = connection['sent_s']
+    for name, endpoint in state['endpoints'].items():
+        if not endpoint['silent_since_s']:
+            continue
+        if now_s - endpoint['silent_since_s'] < SILENCE_S:
+            continue
+        silent = EndpointSilent(
+            name, endpoint['entry'].service, endpoint['silent_since_s']
+        )
+        outgoing.append(ToTask('control', silent))
+    return outgoing
+
+
+def _fail_connection(
+    state: RelayState,
+    number: int,
+    now_s: float,
+) -> list[Any]:
+    connection = state['connections'][number]
+    closing = pool.close(state, number)
+    name = connection['endpoint']
+    if name in state['endpoints']:
+        _note_failure(state, name, now_s)
+    lost = operations.lose_connection(
+        state, connection, now_s, f'{name} does not accept connections'
+    )
+    return [closing, *lost]
+
+
+def _check_sessions(state: RelayState, now_s: float) -> list[Any]:
+    outgoing: list[Any] = []
+    idle_s = state['rules'].transaction_idle_s + IDLE_MARGIN_S
+    leaving_s = state['leaving_s']
+    for session in list(state['sessions'].values()):
+        number = session['session']
+        if number in state['operations'] or session['backlog']:
+            continue
+        quiet_s = now_s - session['used_s']
+        if session['phase'] is SessionPhase.IDLE:
+            if leaving_s and _is_time_to_close(state, session, now_s):
+                outgoing.extend(operations.end_session(state, session))
+            continue
+        limit_s = idle_s
+        if leaving_s:
+            grace_s = state['settings'].grace_s * TRANSACTION_PART
+            limit_s = min(limit_s, grace_s - (leaving_s - session['used_s']))
+        if quiet_s > limit_s and session['connection']:
+            outgoing.append(pool.close(state, session['connection']))
+            session['connection'] = NO_CONNECTION
+            session['phase'] = SessionPhase.FAILED
+    return outgoing
+
+
+def _is_time_to_close(
+    state: RelayState,
+    session: Session,
+    now_s: float,
+) -> bool:
+    """Spreads the closes, so that callers do not all reconnect at once."""
+    part = (session['session'] % 16) / 16
+    return now_s - state['leaving_s'] > part * CLOSE_SPREAD_S
--- /dev/null
+++ b/poplarspoke/relay/statements.py
@@ -0,0 +1,182 @@
+"""What a session does with each type of statement, by its phase."""
+
+import functools
+from typing import Any
+
+from poplarspoke.generated.relay import (
+    AnswerCode,
+    BeginTransaction,
+    CommitTransaction,
+    ExecutePrepared,
+    ForgetPrepared,
+    PrepareStatement,
+    ReadItem,
+    RollBackTransaction,
+    SessionPhase,
+    SetValue,
+    UnknownStatement,
+    WriteItem,
+)
+from poplarspoke.relay import operations, pool
+from poplarspoke.relay.state import NO_CONNECTION, RelayState, Session
+
+
+@functools.singledispatch
+def run(
+    statement: Any,
+    state: RelayState,
+    session: Session,
+    now_s: float,
+) -> list[Any]:
+    """Runs one statement of a session; returns what follows."""
+    raise TypeError(f'{type(statement).__name__} is no statement')
+
+
+@run.register
+def _(
+    statement: UnknownStatement,
+    state: RelayState,
+    session: Session,
+    now_s: float,
+) -> list[Any]:
+    return operations.refuse(state, session, statement, AnswerCode.MALFORMED)
+
+
+@run.register
+def _(
+    statement: BeginTransaction,
+    state: RelayState,
+    session: Session,
+    now_s: float,
+) -> list[Any]:
+    if session['phase'] is not SessionPhase.IDLE:
+        return operations.refuse(
+            state, session, statement, AnswerCode.MALFORMED
+        )
+    return operations.start(state, session, statement, now_s)
+
+
+@run.register
+def _(
+    statement: ReadItem | WriteItem,
+    state: RelayState,
+    session: Session,
+    now_s: float,
+) -> list[Any]:
+    return _run_item(statement, state, session, now_s)
+
+
+@run.register
+def _(
+    statement: ExecutePrepared,
+    state: RelayState,
+    session: Session,
+    now_s: float,
+) -> list[Any]:
+    if statement.name not in session['prepared']:
+        return operations.refuse(
+            state, session, statement, AnswerCode.NO_STATEMENT
+        )
+    return _run_item(statement, state, session, now_s)
+
+
+@run.register
+def _(
+    statement: CommitTransaction | RollBackTransaction,
+    state: RelayState,
+    session: Session,
+    now_s: float,
+) -> list[Any]:
+    if session['phase'] is SessionPhase.IDLE:
+        return operations.refuse(
+            state, session, statement, AnswerCode.MALFORMED
+        )
+    if session['connection'] == NO_CONNECTION:
+        # The endpoint has rolled the transaction back already.
+        return operations.fail_transaction(
+            state, session, statement, 'the transaction was rolled back'
+        )
+    return operations.continue_transaction(state, session, statement, now_s)
+
+
+@run.register
+def _(
+    statement: SetValue,
+    state: RelayState,
+    session: Session,
+    now_s: float,
+) -> list[Any]:
+    if session['phase'] is SessionPhase.FAILED:
+        return operations.refuse(
+            state, session, statement, AnswerCode.MALFORMED
+        )
+    if session['phase'] is SessionPhase.OPEN:
+        return operations.continue_transaction(state, session, statement, now_s)
+    session['values'][statement.name] = statement.content
+    return operations.answer(
+        state, session, AnswerCode.DONE, '-', session['phase']
+    )
+
+
+@run.register
+def _(
+    statement: PrepareStatement,
+    state: RelayState,
+    session: Session,
+    now_s: float,
+) -> list[Any]:
+    if session['phase'] is SessionPhase.FAILED:
+        return operations.refuse(
+            state, session, statement, AnswerCode.MALFORMED
+        )
+    session['prepared'][statement.name] = statement
+    connection = state['connections'].get(session['connection'])
+    if connection is not None:
+        # Preparing now spares a system statement with the first execution.
+        alias = pool.name_alias(statement)
+        if alias not in connection['aliases']:
+            return operations.continue_transaction(
+                state, session, statement, now_s
+            )
+    return operations.answer(
+        state, session, AnswerCode.DONE, '-', session['phase']
+    )
+
+
+@run.register
+def _(
+    statement: ForgetPrepared,
+    state: RelayState,
+    session: Session,
+    now_s: float,
+) -> list[Any]:
+    if session['phase'] is SessionPhase.FAILED:
+        return operations.refuse(
+            state, session, statement, AnswerCode.MALFORMED
+        )
+    if session['prepared'].pop(statement.name, None) is None:
+        return operations.refuse(
+            state, session, statement, AnswerCode.NO_STATEMENT
+        )
+    return operations.answer(
+        state, session, AnswerCode.DONE, '-', session['phase']
+    )
+
+
+def _run_item(
+    statement: Any,
+    state: RelayState,
+    session: Session,
+    now_s: float,
+) -> list[Any]:
+    if session['phase'] is SessionPhase.FAILED:
+        if session['connection'] == NO_CONNECTION:
+            return operations.fail_transaction(
+                state, session, statement, 'the transaction was rolled back'
+            )
+        return operations.refuse(
+            state, session, statement, AnswerCode.MALFORMED
+        )
+    if session['phase'] is SessionPhase.OPEN:
+        return operations.continue_transaction(state, session, statement, now_s)
+    return operations.start(state, session, statement, now_s)
--- /dev/null
+++ b/poplarspoke/relay/transport.py
@@ -0,0 +1,373 @@
+"""Sockets of callers and endpoints, and the task that owns them.
+
+Statements come in through transport callbacks: all complete lines of one read
+are handled at once, and each answer is written with one call. The codec of the
+session protocol is passed in, so that another front end can use the same
+decisions.
+"""
+
+import asyncio
+import functools
+from collections.abc import Callable
+from typing import Any, NamedTuple, Self, cast
+
+import anyio
+from anyio.abc import TaskGroup
+
+from poplarspoke.generated.common import Position, Tick
+from poplarspoke.generated.relay import (
+    AnswerCode,
+    CloseConnection,
+    EndpointLost,
+    EndpointReady,
+    EndSession,
+    LogDecision,
+    OpenConnection,
+    RefuseSession,
+    SendAnswer,
+    SessionClosed,
+    SessionOpened,
+    SessionPhase,
+    SessionStarted,
+)
+from poplarspoke.relay import decisions
+from poplarspoke.relay.messages import Forward
+from poplarspoke.relay.state import RelayState
+from poplarspoke.tasks import ToHost, ToTask
+
+LINE_END = b'\r\n'
+LISTEN_BACKLOG = 512
+# Statements are milliseconds long; the tick bounds how late a wait ends.
+TICK_S = 0.025
+IDLE_TICK_S = 0.1
+# Log lines of decisions a second; more are counted and summed up.
+MAX_LINES_PER_S = 50
+
+
+class Codec(NamedTuple):
+    """Functions that translate the session protocol.
+
+    Attributes:
+        decode_caller_line: Message of a caller's line.
+        encode_answer: Lines of an answer to a caller.
+        encode_started: Answer to a session that has started.
+        encode_refusal: Answer to a session that may not start.
+        encode_start: First message on a connection to an endpoint.
+        encode_statement: Message that has an endpoint run a statement.
+        create_reader: Reader of an endpoint's answers.
+        error: What these raise for input that is no message.
+        max_message_bytes: Bound of one message.
+    """
+
+    decode_caller_line: Callable[[int, str], Any]
+    encode_answer: Callable[[SendAnswer], bytes]
+    encode_started: Callable[[], bytes]
+    encode_refusal: Callable[[RefuseSession], bytes]
+    encode_start: Callable[[OpenConnection], bytes]
+    encode_statement: Callable[[Any, Position, str], bytes]
+    create_reader: Callable[[int], Any]
+    error: type[Exception]
+    max_message_bytes: int
+
+
+class Relay:
+    """Owns the relay's state and sockets; an async context manager."""
+
+    def __init__(
+        self,
+        state: RelayState,
+        codec: Codec,
+        *,
+        now_s: Callable[[], float],
+        deliver: Callable[[ToHost | ToTask], None],
+        log: Callable[[LogDecision], None],
+    ) -> None:
+        """Keeps the state.
+
+        Args:
+            state: State that this task owns from now on.
+            codec: Translation of the session protocol.
+            now_s: Boot clock in seconds.
+            deliver: Passes on messages for peers and other tasks.
+            log: Writes a decision to the log.
+        """
+        self.state = state
+        self.codec = codec
+        self.callers: dict[int, asyncio.Transport] = {}
+        self.endpoints: dict[int, asyncio.Transport | None] = {}
+        self.deliver = deliver
+        self._now_s = now_s
+        self._log = log
+        self._next_session = 1
+        self._group: TaskGroup
+        self._lines_second = 0
+        self._lines = 0
+
+    async def __aenter__(self) -> Self:
+        """Binds the listener for callers."""
+        loop = asyncio.get_running_loop()
+        host, _, port = self.state['settings'].caller_address.rpartition(':')
+        self._server = await loop.create_server(
+            lambda: CallerProtocol(self),
+            host,
+            int(port),
+            backlog=LISTEN_BACKLOG,
+        )
+        self._group = await anyio.create_task_group().__aenter__()
+        self._group.start_soon(self._tick)
+        return self
+
+    async def __aexit__(self, *_exc: object) -> None:
+        """Closes the listener and every connection."""
+        self._server.close()
+        self._group.cancel_scope.cancel()
+        await self._group.__aexit__(None, None, None)
+        for transport in list(self.callers.values()):
+            transport.abort()
+        for link in list(self.endpoints.values()):
+            if link is not None:
+                link.abort()
+
+    def handle(self, message: Any) -> bool:
+        """Decides on a message and carries out what follows."""
+        now_s = self._now_s()
+        for outgoing in decisions.decide(message, self.state, now_s):
+            perform(outgoing, self)
+        return True
+
+    def accept(self, transport: asyncio.Transport) -> int:
+        """Registers the connection of a caller; returns its session."""
+        session = self._next_session
+        self._next_session += 1
+        self.callers[session] = transport
+        self.handle(SessionOpened(session))
+        return session
+
+    def open(self, message: OpenConnection) -> None:
+        """Starts to connect to an endpoint."""
+        self.endpoints[message.connection] = None
+        self._group.start_soon(self._connect, message)
+
+    def write_log(self, line: LogDecision) -> None:
+        """Logs a decision; the number of lines a second is bounded."""
+        second = int(self._now_s())
+        if second != self._lines_second:
+            left_out = self._lines - MAX_LINES_PER_S
+            if left_out > 0:
+                self._log(
+                    LogDecision(
+                        event='decisions left out of the log',
+                        outcome=str(left_out),
+                    ),
+                )
+            self._lines_second = second
+            self._lines = 0
+        self._lines += 1
+        if self._lines <= MAX_LINES_PER_S:
+            self._log(line)
+
+    async def _tick(self) -> None:
+        while True:
+            await anyio.sleep(
+                TICK_S if self.state['operations'] else IDLE_TICK_S,
+            )
+            self.handle(Tick())
+
+    async def _connect(self, message: OpenConnection) -> None:
+        loop = asyncio.get_running_loop()
+        host, _, port = message.address.rpartition(':')
+        try:
+            with anyio.fail_after(decisions.OPEN_TIMEOUT_S):
+                await loop.create_connection(
+                    lambda: EndpointProtocol(self, message),
+                    host,
+                    int(port),
+                )
+        except (OSError, TimeoutError):
+            # The decision logs the loss with the request that it hits.
+            self.endpoints.pop(message.connection, None)
+            self.handle(EndpointLost(message.connection))
+
+
+class LineProtocol(asyncio.Protocol):
+    """Splits what a socket receives into lines."""
+
+    def __init__(self, relay: Relay) -> None:
+        """Starts with nothing received."""
+        self.relay = relay
+        self._buffer = b''
+
+    def take_lines(self, received: bytes) -> list[bytes]:
+        """Returns the complete lines that have been received.
+
+        Raises:
+            ValueError: A line is too long or holds a stray line break, which
+                would let one message carry another.
+        """
+        if self._buffer:
+            received = self._buffer + received
+        *lines, self._buffer = received.split(LINE_END)
+        if len(self._buffer) > self.relay.codec.max_message_bytes:
+            raise self.relay.codec.error('message too long')
+        for line in lines:
+            if b'\n' in line or b'\r' in line:
+                raise self.relay.codec.error('stray line break')
+        return lines
+
+
+class CallerProtocol(LineProtocol):
+    """Connection of one caller."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Opens a session."""
+        self._transport = cast(asyncio.Transport, transport)
+        self._session = self.relay.accept(self._transport)
+
+    def data_received(self, data: bytes) -> None:
+        """Handles all complete lines."""
+        codec = self.relay.codec
+        try:
+            for line in self.take_lines(data):
+                message = codec.decode_caller_line(
+                    self._session,
+                    line.decode('latin-1'),
+                )
+                self.relay.handle(message)
+        except codec.error:
+            self.relay.write_log(
+                LogDecision(event='session closed', reason='malformed input'),
+            )
+            self._transport.abort()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Ends the session."""
+        self.relay.callers.pop(self._session, None)
+        self.relay.handle(SessionClosed(self._session))
+
+
+class EndpointProtocol(LineProtocol):
+    """Connection to one endpoint."""
+
+    def __init__(self, relay: Relay, message: OpenConnection) -> None:
+        """Keeps what the connection is for."""
+        super().__init__(relay)
+        self._message = message
+        self._reader = relay.codec.create_reader(message.connection)
+        self._started = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Starts the session with the endpoint."""
+        self._transport = cast(asyncio.Transport, transport)
+        number = self._message.connection
+        if number not in self.relay.endpoints:
+            # Closed by a decision while it was being opened.
+            self._transport.abort()
+            return
+        self.relay.endpoints[number] = self._transport
+        self._transport.write(self.relay.codec.encode_start(self._message))
+
+    def data_received(self, data: bytes) -> None:
+        """Handles all complete answers."""
+        try:
+            for line in self.take_lines(data):
+                answer = self._reader.read_line(line.decode('latin-1'))
+                if answer is None:
+                    continue
+                if self._started:
+                    self.relay.handle(answer)
+                    continue
+                self._start(answer.phase)
+        except self.relay.codec.error:
+            self.relay.write_log(
+                LogDecision(
+                    event='connection closed',
+                    reason='malformed answer',
+                    endpoint=self._message.endpoint,
+                ),
+            )
+            self._transport.abort()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Reports the end of the connection."""
+        self.relay.endpoints.pop(self._message.connection, None)
+        code = AnswerCode.DONE
+        if not self._started:
+            code = self._reader.refusal
+        lost = EndpointLost(self._message.connection, code, self._started)
+        self.relay.handle(lost)
+
+    def _start(self, phase: SessionPhase) -> None:
+        self._started = True
+        if phase is SessionPhase.IDLE:
+            self.relay.handle(EndpointReady(self._message.connection))
+
+
+@functools.singledispatch
+def perform(outgoing: Any, relay: Relay) -> None:
+    """Carries out one message of the decisions."""
+    raise TypeError(f'{type(outgoing).__name__} cannot be carried out')
+
+
+@perform.register
+def _(outgoing: ToHost | ToTask, relay: Relay) -> None:
+    relay.deliver(outgoing)
+
+
+@perform.register
+def _(outgoing: SendAnswer, relay: Relay) -> None:
+    transport = relay.callers.get(outgoing.session)
+    if transport is not None:
+        transport.write(relay.codec.encode_answer(outgoing))
+
+
+@perform.register
+def _(outgoing: SessionStarted, relay: Relay) -> None:
+    transport = relay.callers.get(outgoing.session)
+    if transport is not None:
+        transport.write(relay.codec.encode_started())
+
+
+@perform.register
+def _(outgoing: RefuseSession, relay: Relay) -> None:
+    transport = relay.callers.pop(outgoing.session, None)
+    if transport is not None:
+        transport.write(relay.codec.encode_refusal(outgoing))
+        transport.close()
+
+
+@perform.register
+def _(outgoing: EndSession, relay: Relay) -> None:
+    transport = relay.callers.pop(outgoing.session, None)
+    if transport is not None:
+        transport.close()
+
+
+@perform.register
+def _(outgoing: Forward, relay: Relay) -> None:
+    transport = relay.endpoints.get(outgoing.connection)
+    if transport is None:
+        return
+    transport.write(
+        relay.codec.encode_statement(
+            outgoing.statement,
+            outgoing.after,
+            outgoing.alias,
+        ),
+    )
+
+
+@perform.register
+def _(outgoing: OpenConnection, relay: Relay) -> None:
+    relay.open(outgoing)
+
+
+@perform.register
+def _(outgoing: CloseConnection, relay: Relay) -> None:
+    transport = relay.endpoints.pop(outgoing.connection, None)
+    if transport is not None:
+        transport.abort()
+
+
+@perform.register
+def _(outgoing: LogDecision, relay: Relay) -> None:
+    relay.write_log(outgoing)
--- /dev/null
+++ b/poplarspoke/schema/control.capnp
@@ -0,0 +1,210 @@
+@0xb1d0a3f0c0de0032;
+
+using Common = import "common.capnp";
+using Rates = import "rates.capnp";
+using Relay = import "relay.capnp";
+using Rules = import "rules.capnp";
+
+enum PrimaryPhase {
+  # Whether the primary of a service may be used.
+  stable @0;
+  changing @1;
+}
+
+struct HostRecord {
+  # Row of a host; only registered hosts hold leases.
+  name @0 :Text;
+  zone @1 :Text;
+  address @2 :Text;  # IP:port of its peer link.
+  controlAddress @3 :Text;  # IP:port for its view.
+  incarnation @4 :UInt64;  # Start of the process, ms since 1970.
+}
+
+struct PeerAddresses {
+  # Where the other hosts are reached.
+  hosts @0 :List(HostRecord);
+}
+
+struct DutyRecord {
+  # Row of the host that may order changes of primary.
+  holder @0 :Text;
+  incarnation @1 :UInt64;
+  token @2 :UInt64;  # Fencing token; increases with each new holder.
+}
+
+struct PrimaryRecord {
+  # Row of the primary of one service.
+  service @0 :Text;
+  endpoint @1 :Text;
+  phase @2 :PrimaryPhase;
+  change @3 :UInt64;  # Number of the change, increases by one.
+  candidate @4 :Text;  # Endpoint that was ordered to take over, if any.
+  reason @5 :Text;
+}
+
+struct TableRow {
+  # One row of the metadata store.
+  key @0 :Text;
+  version @1 :UInt64;
+  removed @2 :Bool;
+  content @3 :Text;
+}
+
+struct TableRows {
+  # Answer to a read or to a watch of one table.
+  table @0 :Text;
+  rows @1 :List(TableRow);
+  version @2 :UInt64;  # Newest version that the answer covers.
+  askedS @3 :Float64;  # Boot clock at which the question was sent.
+  complete @4 :Bool;  # All rows of the table, not only changed ones.
+}
+
+struct TableLost {
+  # A read or watch got no answer.
+  table @0 :Text;
+  reason @1 :Text;
+}
+
+struct TableView {
+  # Rows of one table as a peer knows them.
+  table @0 :Text;
+  version @1 :UInt64;
+  ageS @2 :Float64;  # Since the question whose answer confirmed them.
+  rows @3 :List(TableRow);
+}
+
+struct PeerView {
+  # Answer to a peer that cannot reach the store.
+  host @0 :Text;
+  tables @1 :List(TableView);
+}
+
+
+struct RecordWrite {
+  # One row to write if it still has the expected version.
+  key @0 :Text;
+  expected @1 :UInt64;  # 0 if the row must not exist.
+  content @2 :Text;
+  removed @3 :Bool;
+}
+
+struct WriteRecords {
+  # Atomic change of rows of the project's own table.
+  correlation @0 :UInt64;
+  writes @1 :List(RecordWrite);
+}
+
+struct RecordsWritten {
+  # Outcome of WriteRecords.
+  correlation @0 :UInt64;
+  accepted @1 :Bool;
+  known @2 :Bool;  # False if no answer came: it may have taken effect.
+  version @3 :UInt64;
+  rows @4 :List(TableRow);  # Current rows after a lost condition.
+}
+
+struct QueryEndpoint {
+  # Asks an endpoint for its state, or demotes it.
+  service @0 :Text;
+  endpoint @1 :Text;
+  address @2 :Text;
+  demoteTerm @3 :UInt64;  # 0 asks only.
+}
+
+struct EndpointState {
+  # Answer of an endpoint to QueryEndpoint.
+  service @0 :Text;
+  endpoint @1 :Text;
+  answered @2 :Bool;
+  role @3 :Rules.EndpointRole;
+  term @4 :UInt64;
+  received @5 :Common.Position;
+}
+
+struct OrderPromotion {
+  # Orders the platform to make an endpoint the primary.
+  service @0 :Text;
+  endpoint @1 :Text;
+  holder @2 :Text;
+  token @3 :UInt64;
+}
+
+struct PromotionAnswered {
+  # Outcome of OrderPromotion; status 0 if no answer came.
+  service @0 :Text;
+  endpoint @1 :Text;
+  status @2 :UInt32;
+}
+
+struct ReportPrimary {
+  # Tells the holder of the duty that a primary should be replaced.
+  sender @0 :Text;
+  service @1 :Text;
+  endpoint @2 :Text;
+  reason @3 :Text;
+}
+
+struct ReportHeard {
+  # Answer to ReportPrimary from the holder of the duty.
+  sender @0 :Text;
+  service @1 :Text;
+  token @2 :UInt64;
+}
+
+struct AskRelease {
+  # Asks a host to give up the primary of a service.
+  sender @0 :Text;
+  service @1 :Text;
+  change @2 :UInt64;
+}
+
+struct Released {
+  # The host does not use the primary of the service any more.
+  sender @0 :Text;
+  service @1 :Text;
+  change @2 :UInt64;
+  incarnation @3 :UInt64;
+}
+
+struct AskReach {
+  # Asks a host whether an endpoint answers it.
+  sender @0 :Text;
+  endpoint @1 :Text;
+}
+
+struct Reach {
+  # Answer to AskReach.
+  sender @0 :Text;
+  endpoint @1 :Text;
+  silent @2 :Bool;
+  heardAgoS @3 :Float64;  # Seconds since its last answer, -1 if never.
+}
+
+struct ShowView {
+  # Asks for the rows that are newer than the versions a peer has.
+  requestId @0 :Text;
+  rules @1 :UInt64;
+  endpoints @2 :UInt64;
+  records @3 :UInt64;
+}
+
+struct ViewNeeded {
+  # Asks for a peer's view, since the store does not answer this host.
+  addresses @0 :List(Text);  # IP:port of hosts that may have one.
+  request @1 :ShowView;
+}
+
+struct PeerDatagram {
+  # One datagram between hosts.
+  union {
+    reportPrimary @0 :ReportPrimary;
+    reportHeard @1 :ReportHeard;
+    askRelease @2 :AskRelease;
+    released @3 :Released;
+    askReach @4 :AskReach;
+    reach @5 :Reach;
+    borrowTokens @6 :Rates.BorrowTokens;
+    lendTokens @7 :Rates.LendTokens;
+    releaseIdle @8 :Relay.ReleaseIdle;
+  }
+}
--- /dev/null
+++ b/poplarspoke/schema/relay.capnp
@@ -0,0 +1,244 @@
+@0xb1d0a3f0c0de0031;
+
+using Common = import "common.capnp";
+using Rules = import "rules.capnp";
+
+enum SessionPhase {
+  # Transaction state of a session or of a connection to an endpoint.
+  idle @0;
+  open @1;
+  failed @2;
+}
+
+enum AnswerCode {
+  # How a statement ended; names are those of the session protocol.
+  done @0;
+  busy @1;
+  aborted @2;
+  lagging @3;
+  readOnly @4;
+  misrouted @5;
+  tooMany @6;
+  failed @7;
+  noStatement @8;
+  timeout @9;
+  keyRefused @10;
+  unknownDatabase @11;
+  tooLarge @12;
+  malformed @13;
+  unknownOutcome @14;
+}
+
+struct SessionOpened {
+  # A caller connected.
+  session @0 :UInt64;
+}
+
+struct SessionClosed {
+  # The caller's connection ended.
+  session @0 :UInt64;
+}
+
+struct StartSession {
+  # First message of a session.
+  session @0 :UInt64;
+  database @1 :Text;
+  key @2 :Text;  # Secret.
+}
+
+struct BeginTransaction {
+  # Begins a transaction.
+  session @0 :UInt64;
+  requestId @1 :Text;
+  readOnly @2 :Bool;
+}
+
+struct CommitTransaction {
+  # Commits the open transaction.
+  session @0 :UInt64;
+  requestId @1 :Text;
+}
+
+struct RollBackTransaction {
+  # Rolls the open transaction back.
+  session @0 :UInt64;
+  requestId @1 :Text;
+}
+
+struct ReadItem {
+  # Reads one item.
+  session @0 :UInt64;
+  requestId @1 :Text;
+  text @2 :Text;  # Statement as the caller wrote it.
+}
+
+struct WriteItem {
+  # Writes one item.
+  session @0 :UInt64;
+  requestId @1 :Text;
+  text @2 :Text;  # Statement as the caller wrote it.
+}
+
+struct SetValue {
+  # Sets a session value.
+  session @0 :UInt64;
+  requestId @1 :Text;
+  name @2 :Text;
+  content @3 :Text;
+}
+
+struct PrepareStatement {
+  # Prepares a statement under a name of the session.
+  session @0 :UInt64;
+  requestId @1 :Text;
+  name @2 :Text;
+  writes @3 :Bool;
+  shape @4 :Text;
+}
+
+struct ExecutePrepared {
+  # Runs a prepared statement.
+  session @0 :UInt64;
+  requestId @1 :Text;
+  name @2 :Text;
+  arguments @3 :Text;
+}
+
+struct ForgetPrepared {
+  # Drops a prepared statement.
+  session @0 :UInt64;
+  requestId @1 :Text;
+  name @2 :Text;
+}
+
+struct UnknownStatement {
+  # A statement that the session protocol does not have.
+  session @0 :UInt64;
+  requestId @1 :Text;
+}
+
+struct EndpointReady {
+  # A connection to an endpoint has started its session.
+  connection @0 :UInt64;
+}
+
+struct EndpointAnswered {
+  # Whole answer of an endpoint to one statement.
+  connection @0 :UInt64;
+  code @1 :AnswerCode;
+  rows @2 :List(Text);
+  detail @3 :Text;  # Signature of a success, text of an error.
+  phase @4 :SessionPhase;
+  position @5 :Common.Position;  # Of the endpoint's log; term 0 if unknown.
+}
+
+struct EndpointLost {
+  # A connection to an endpoint failed, was refused or ended.
+  connection @0 :UInt64;
+  code @1 :AnswerCode;  # Why the endpoint refused it; done if it did not.
+  connected @2 :Bool;  # The TCP connection had been established.
+}
+
+struct SendAnswer {
+  # Answer to a caller.
+  session @0 :UInt64;
+  code @1 :AnswerCode;
+  rows @2 :List(Text);
+  detail @3 :Text;
+  phase @4 :SessionPhase;
+}
+
+struct SessionStarted {
+  # Tells a caller that its session has started.
+  session @0 :UInt64;
+}
+
+struct RefuseSession {
+  # Refuses the start of a session and closes it.
+  session @0 :UInt64;
+  code @1 :AnswerCode;
+  detail @2 :Text;
+}
+
+struct EndSession {
+  # Closes a caller's connection.
+  session @0 :UInt64;
+}
+
+struct OpenConnection {
+  # Opens a connection for one workspace to an endpoint.
+  connection @0 :UInt64;
+  address @1 :Text;
+  service @2 :Text;
+  endpoint @3 :Text;
+  workspace @4 :Text;
+}
+
+struct CloseConnection {
+  # Closes a connection to an endpoint; an open transaction rolls back.
+  connection @0 :UInt64;
+}
+
+struct PrimaryLease {
+  # Right to use the primary of a service until a time of the boot clock.
+  service @0 :Text;
+  endpoint @1 :Text;
+  untilS @2 :Float64;
+}
+
+struct LeasesRenewed {
+  # Leases that the host holds; a service that is missing has none.
+  leases @0 :List(PrimaryLease);
+}
+
+struct LeaseRevoked {
+  # The host gives up the primary of a service.
+  service @0 :Text;
+}
+
+struct EndpointsKnown {
+  # All endpoints that may be used, and zones that get no work.
+  endpoints @0 :List(Rules.EndpointEntry);
+  evacuated @1 :List(Text);
+}
+
+struct HostsKnown {
+  # Number of hosts that share rates and connections.
+  hosts @0 :UInt32;
+  peers @1 :List(Text);  # Names of the other hosts.
+}
+
+struct ShutDown {
+  # Starts a graceful shutdown.
+  graceS @0 :Float64;
+}
+
+struct EndpointSilent {
+  # An endpoint does not answer this host.
+  endpoint @0 :Text;
+  service @1 :Text;
+  sinceS @2 :Float64;  # Boot clock; start of the silence.
+}
+
+struct EndpointHeard {
+  # A silent endpoint has answered again.
+  endpoint @0 :Text;
+}
+
+struct ReleaseIdle {
+  # Asks the other hosts for unused connections to an endpoint.
+  sender @0 :Text;
+  endpoint @1 :Text;
+}
+
+struct LogDecision {
+  # A decision on a request, for the log.
+  requestId @0 :Text;
+  event @1 :Text;
+  outcome @2 :Text;
+  endpoint @3 :Text;
+  database @4 :Text;
+  workspace @5 :Text;
+  reason @6 :Text;
+  ageS @7 :Float64;
+}
--- /dev/null
+++ b/poplarspoke/schema/rules.capnp
@@ -0,0 +1,80 @@
+@0xb1d0a3f0c0de0030;
+
+enum RouteKind {
+  # Consistency that the reads of a route need.
+  primary @0;
+  bounded @1;
+  readOwn @2;
+}
+
+enum EndpointRole {
+  # Role that a database member reports of itself.
+  replica @0;
+  primary @1;
+}
+
+struct RouteRule {
+  # How statements for one database are served.
+  database @0 :Text;  # Name by which callers address the database.
+  service @1 :Text;  # Group of endpoints that runs the statements.
+  kind @2 :RouteKind;
+  statementTimeoutS @3 :Float64;
+  targetLatencyS @4 :Float64;  # Latency objective of a whole operation.
+  stalenessS @5 :Float64;  # Tolerated staleness of a read.
+  priority @6 :UInt32;  # 0 is the highest.
+  open @7 :Bool;  # Served without a key.
+}
+
+struct ServiceRule {
+  # Limits of one group of endpoints.
+  name @0 :Text;
+  maxConnections @1 :UInt32;  # Of all hosts together to one endpoint.
+}
+
+struct WorkspaceRule {
+  # Keys and rate of one workspace.
+  name @0 :Text;
+  keys @1 :List(Text);
+  rate @2 :Float64;  # Operations a second, over all hosts.
+  burst @3 :Float64;  # Operations, over all hosts.
+}
+
+struct Ruleset {
+  # One version of the operators' configuration, in full.
+  version @0 :UInt64;
+  routes @1 :List(RouteRule);
+  services @2 :List(ServiceRule);
+  workspaces @3 :List(WorkspaceRule);
+  transactionIdleS @4 :Float64;
+}
+
+struct EndpointEntry {
+  # What a database member says of itself on the platform's list.
+  endpoint @0 :Text;  # Identifier of the member.
+  service @1 :Text;
+  address @2 :Text;  # IP:port.
+  zone @3 :Text;
+  slots @4 :UInt32;  # Statements that it runs at the same time.
+  draining @5 :Bool;
+  role @6 :EndpointRole;
+  bornMs @7 :UInt64;  # Start of its process, ms since 1970.
+}
+
+struct HostSettings {
+  # Settings of this host as the platform hands them out.
+  name @0 :Text;
+  zone @1 :Text;
+  ip @2 :Text;
+  callerAddress @3 :Text;  # IP:port for callers.
+  readyAddress @4 :Text;  # IP:port of the readiness probe.
+  peerPort @5 :UInt16;  # UDP port of the links between hosts.
+  controlAddress @6 :Text;  # IP:port for views of peers and metrics.
+  storeAddress @7 :Text;
+  dutyAddress @8 :Text;  # Where changes of primary are ordered.
+  graceS @9 :Float64;  # From SIGTERM to SIGKILL.
+  drainS @10 :Float64;  # An endpoint that leaves gets no new work after it.
+  quotaWindowS @11 :Float64;
+  quotaExcess @12 :Float64;  # Tolerated excess, fraction of rate and burst.
+  quotaSlack @13 :Float64;  # Tolerated excess in operations.
+  seeds @14 :List(Text);  # Control addresses of some hosts, maybe stale.
+}
--- /dev/null
+++ b/poplarspoke/session_host.py
@@ -0,0 +1,241 @@
+"""One host of the session protocol: its tasks and sockets, wired together.
+
+What speaks to the platform is passed in by its adapter.
+"""
+
+import functools
+import random
+import signal
+from collections.abc import Callable
+from contextlib import AsyncExitStack
+from typing import Any, NamedTuple, Self
+
+import anyio
+from anyio.abc import TaskGroup
+
+from poplarspoke import logs, web
+from poplarspoke.control import decisions as control_decisions
+from poplarspoke.control import state as control_state
+from poplarspoke.control.feeds import Feeds, MetadataClient
+from poplarspoke.control.links import Links
+from poplarspoke.control.queries import Queries, QueryCodec
+from poplarspoke.control.views import VIEW_PATH, Views
+from poplarspoke.generated.control import (
+    OrderPromotion,
+    ShowView,
+    WriteRecords,
+)
+from poplarspoke.generated.relay import LogDecision, ShutDown
+from poplarspoke.generated.rules import HostSettings
+from poplarspoke.relay import decisions as relay_decisions
+from poplarspoke.relay import state as relay_state
+from poplarspoke.relay.transport import Codec, Relay
+from poplarspoke.tasks import Mesh, Task, ToHost, ToTask
+
+CONTROL_TICK_S = 0.1
+# The balancer takes a host out of rotation two probes after it says so.
+MIN_SHUTDOWN_S = 2.6
+# Kept free of the grace period, so that the process ends by itself.
+EXIT_MARGIN_S = 0.8
+SHUTDOWN_CHECK_S = 0.1
+VIEW_TIMEOUT_S = 0.5
+MS_PER_S = 1000
+
+
+class Surroundings(NamedTuple):
+    """What a host needs from outside.
+
+    Attributes:
+        settings: Settings of the host.
+        codec: Translation of the session protocol.
+        query_codec: Translation of questions to endpoints.
+        decoders: Decoders of rows of other writers.
+        connect: Opens a client of the metadata store.
+        ready_path: Path of the platform's readiness probe.
+        now_s: Boot clock in seconds; it counts suspensions.
+        wall_s: Wall clock in seconds since 1970, for names and people.
+        rng: Random source.
+        log: Structured log.
+    """
+
+    settings: HostSettings
+    codec: Codec
+    query_codec: QueryCodec
+    decoders: control_state.Decoders
+    connect: Callable[[], MetadataClient]
+    ready_path: str
+    now_s: Callable[[], float]
+    wall_s: Callable[[], float]
+    rng: random.Random
+    log: logs.Log
+
+
+class SessionHost:
+    """One host; an async context manager that owns its tasks and sockets."""
+
+    def __init__(self, surroundings: Surroundings) -> None:
+        """Creates the tasks; nothing runs yet."""
+        settings = surroundings.settings
+        incarnation = int(surroundings.wall_s() * MS_PER_S)
+        self._surroundings = surroundings
+        self._stack = AsyncExitStack()
+        self._group: TaskGroup
+        self._requests = 0
+        self.mesh = Mesh(
+            send_to_host=self._send_to_host,
+            send_to_store=self._send_to_store,
+            now_s=surroundings.now_s,
+        )
+        self.control = Task(
+            'control',
+            control_decisions.decide,
+            control_state.create_state(
+                settings,
+                surroundings.decoders,
+                rng=surroundings.rng,
+                incarnation=incarnation,
+            ),
+            tick_s=CONTROL_TICK_S,
+        )
+        self.relay = Relay(
+            relay_state.create_state(
+                settings,
+                rng=surroundings.rng,
+                incarnation=incarnation,
+            ),
+            surroundings.codec,
+            now_s=surroundings.now_s,
+            deliver=self._deliver,
+            log=self.write_log,
+        )
+        self.links = Links(
+            settings.ip,
+            settings.peer_port,
+            receive=self._receive,
+            log=self.write_log,
+        )
+        self.feeds = Feeds(
+            surroundings.connect,
+            post=self.control.post,
+            now_s=surroundings.now_s,
+            rng=surroundings.rng,
+        )
+
+    async def __aenter__(self) -> Self:
+        """Binds all sockets and starts all tasks."""
+        settings = self._surroundings.settings
+        post = self.control.post
+        views = Views(post=post, now_s=self._surroundings.now_s)
+        queries = Queries(self._surroundings.query_codec, post=post)
+        enter = self._stack.enter_async_context
+        self._group = await enter(anyio.create_task_group())
+        self._stack.enter_context(self.control)
+        for part in (self.relay, self.links, views, queries, self.feeds):
+            await enter(part)
+        for address in (settings.ready_address, settings.control_address):
+            host, _, port = address.rpartition(':')
+            await enter(
+                web.HttpServer(self._serve, host=host, port=int(port)),
+            )
+        self.mesh.register('relay', self.relay.handle)
+        self.mesh.register('links', self.links.set_peers)  # type: ignore[arg-type]
+        self.mesh.register('views', views.fetch)  # type: ignore[arg-type]
+        self.mesh.register('endpoints', queries.send)  # type: ignore[arg-type]
+        self.mesh.register('log', self.write_log)  # type: ignore[arg-type]
+        self.mesh.start(self.control, self._group)
+        self.write_log(LogDecision(event='started', outcome=settings.name))
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        """Ends all tasks and closes all sockets."""
+        self._group.cancel_scope.cancel()
+        self.write_log(LogDecision(event='stopped'))
+        await self._stack.__aexit__(None, None, None)
+
+    async def shut_down(self) -> None:
+        """Finishes the work of this host within its grace period."""
+        settings = self._surroundings.settings
+        started_s = self._surroundings.now_s()
+        self.write_log(LogDecision(event='shutdown started'))
+        self.control.post(ShutDown(settings.grace_s))
+        limit_s = settings.grace_s - EXIT_MARGIN_S
+        while True:
+            await anyio.sleep(SHUTDOWN_CHECK_S)
+            waited_s = self._surroundings.now_s() - started_s
+            if waited_s > limit_s:
+                return
+            drained = relay_decisions.is_drained(self.relay.state)
+            if drained and waited_s > MIN_SHUTDOWN_S:
+                return
+
+    def write_log(self, line: LogDecision) -> None:
+        """Writes a decision to the log, without empty fields."""
+        fields: Any = {
+            name: entry
+            for name, entry in line._asdict().items()
+            if entry and name != 'event'
+        }
+        self._surroundings.log.info(line.event, **fields)
+
+    def _deliver(self, outgoing: ToHost | ToTask) -> None:
+        self.mesh.deliver(outgoing, self.control)
+
+    def _send_to_host(self, host: str, message: Any) -> None:
+        self.links.send(host, message)
+
+    def _send_to_store(self, _task: str, message: Any) -> None:
+        send_to_store(message, self.feeds)
+
+    def _receive(self, message: Any) -> None:
+        if type(message) in RELAY_MESSAGES:
+            self.relay.handle(message)
+            return
+        self.control.post(message)
+
+    async def _serve(self, request: web.Request) -> web.Response:
+        if request.path == self._surroundings.ready_path:
+            return web.Response(200 if self.control.state['ready'] else 503)
+        if request.path != VIEW_PATH:
+            return web.Response(404)
+        self._requests += 1
+        wanted = web.read_json(ShowView, request.body)
+        view = await self.control.ask(
+            wanted._replace(request_id=str(self._requests)),
+            timeout_s=VIEW_TIMEOUT_S,
+        )
+        return web.Response(200, web.write_json(view))
+
+
+# Datagrams that the relay decides on; the control task has the others.
+RELAY_MESSAGES = frozenset(
+    message
+    for message in relay_decisions.decide.registry
+    if message.__name__
+    in {'AskReach', 'BorrowTokens', 'LendTokens', 'ReleaseIdle'}
+)
+
+
+@functools.singledispatch
+def send_to_store(message: Any, feeds: Feeds) -> None:
+    """Passes a request of the control task to the metadata store."""
+    raise TypeError(f'{type(message).__name__} is no request to the store')
+
+
+@send_to_store.register
+def _(message: WriteRecords, feeds: Feeds) -> None:
+    feeds.send_write(message)
+
+
+@send_to_store.register
+def _(message: OrderPromotion, feeds: Feeds) -> None:
+    feeds.send_order(message)
+
+
+async def run(surroundings: Surroundings) -> None:
+    """Runs a host until it is told to stop."""
+    signals = (signal.SIGTERM, signal.SIGINT)
+    with anyio.open_signal_receiver(*signals) as received:
+        async with SessionHost(surroundings) as host:
+            async for _number in received:
+                break
+            await host.shut_down()
--- a/poplarspoke/tasks.py
+++ b/poplarspoke/tasks.py
@@ -14,6 +14,7 @@
 
 from poplarspoke import errors
 from poplarspoke.generated.common import ErrorCode, Tick
+from poplarspoke.generated.relay import LogDecision
 
 INBOX_SIZE = 1024
 
@@ -288,6 +289,11 @@
     mesh.send_to_endpoint(task.name, outgoing.endpoint, outgoing.message)
 
 
+@deliver_one.register
+def _(outgoing: LogDecision, mesh: Mesh, task: Task) -> None:
+    mesh.post('log', outgoing)
+
+
 @deliver_one.register
 def _(outgoing: Reply, mesh: Mesh, task: Task) -> None:
     task.answer(outgoing)
--- a/poplarspoke/web.py
+++ b/poplarspoke/web.py
@@ -19,6 +19,8 @@
 
 MAX_HEADER_BYTES = 16384
 MAX_BODY_BYTES = 262144
+# The platform answers a read of a table with at most 1 MB of rows.
+MAX_ANSWER_BYTES = 2097152
 RECEIVE_BYTES = 65536
 FIRST_ERROR_STATUS = 400
 HEADER_TIMEOUT_S = 10.0
@@ -231,7 +233,7 @@
         head = await _next_event(self._codec, self._stream)
         if not isinstance(head, h11.Response):
             raise h11.RemoteProtocolError('expected a response')
-        body = await _read_body(self._codec, self._stream)
+        body = await _read_body(self._codec, self._stream, MAX_ANSWER_BYTES)
         return Response(head.status_code, body, _read_headers(head))
 
 
@@ -304,7 +306,11 @@
     )
 
 
-async def _read_body(codec: h11.Connection, stream: ByteStream) -> bytes:
+async def _read_body(
+    codec: h11.Connection,
+    stream: ByteStream,
+    max_bytes: int = MAX_BODY_BYTES,
+) -> bytes:
     parts: list[bytes] = []
     size = 0
     while True:
@@ -314,9 +320,9 @@
         if not isinstance(event, h11.Data):
             raise h11.RemoteProtocolError('the message was cut off')
         size += len(event.data)
-        if size > MAX_BODY_BYTES:
+        if size > max_bytes:
             raise h11.RemoteProtocolError(
-                f'the body is over {MAX_BODY_BYTES} bytes',
+                f'the body is over {max_bytes} bytes',
                 error_status_hint=http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
             )
         parts.append(bytes(event.data))
