Stop changes of primary when another process takes the duty

Cause: a change of primary rewrites the duty's row to prove that the duty is unchanged. Ruled out: a lost condition in the store; both orders were preceded by accepted writes.

--- a/poplarspoke/control/decisions.py
+++ b/poplarspoke/control/decisions.py
@@ -67,6 +67,7 @@
 @decide.register
 def _(message: TableRows, state: ControlState, now_s: float) -> list[Any]:
     outgoing = tables.apply_rows(state, message, now_s)
+    outgoing.extend(duty.drop_changes(state, now_s))
     for change in list(state['changes'].values()):
         outgoing.extend(
             handover.advance(change['step'], state, change, now_s),
@@ -116,6 +117,7 @@
             version=state['tables'][RECORDS]['version'],
         )
         outgoing.extend(tables.apply_rows(state, newer, now_s))
+        outgoing.extend(duty.drop_changes(state, now_s))
     outgoing.extend(take_write(purpose, state, message, now_s))
     return outgoing
 
--- a/poplarspoke/control/duty.py
+++ b/poplarspoke/control/duty.py
@@ -144,6 +144,19 @@
         report['heard_s'] = now_s
 
 
+def drop_changes(state: ControlState, now_s: float) -> list[Any]:
+    """Stops all changes once another process holds the duty.
+
+    The rows of a change carry the duty's row along, so a host that went on
+    would act under the token of the new holder.
+    """
+    if is_holder(state):
+        return []
+    dropped = list(state['changes'].values())
+    state['changes'].clear()
+    return [handover.log_drop(change, now_s) for change in dropped]
+
+
 def leave(state: ControlState) -> list[Any]:
     """Gives the duty up, so that another host takes it without waiting."""
     if not is_holder(state) or state['changes']:
--- a/poplarspoke/control/handover.py
+++ b/poplarspoke/control/handover.py
@@ -255,7 +255,7 @@
         # Another host has changed a row, or no answer came: what the rows
         # say decides, and the reason for the change is judged again.
         state['changes'].pop(service)
-        return [_log(change, 'change of primary dropped', now_s)]
+        return [log_drop(change, now_s)]
     return _go_on(change['step'], state, change, written, now_s)
 
 
@@ -318,6 +318,11 @@
     return [_log(change, 'change of primary done', now_s)]
 
 
+def log_drop(change: Change, now_s: float) -> LogDecision:
+    """Returns the log line of a change that this host gives up."""
+    return _log(change, 'change of primary dropped', now_s)
+
+
 def _write_row(
     state: ControlState,
     change: Change,
--- a/poplarspoke/session_host.py
+++ b/poplarspoke/session_host.py
@@ -233,9 +233,12 @@
 
 async def run(surroundings: Surroundings) -> None:
     """Runs a host until it is told to stop."""
-    signals = (signal.SIGTERM, signal.SIGINT)
+    signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     with anyio.open_signal_receiver(*signals) as received:
         async with SessionHost(surroundings) as host:
-            async for _number in received:
-                break
+            async for number in received:
+                if number is not signal.SIGHUP:
+                    break
+                # Nothing that a host uses changes while it runs.
+                host.write_log(LogDecision(event='settings kept'))
             await host.shut_down()
