--- a/poplarspoke/control/duty.py
+++ b/poplarspoke/control/duty.py
@@ -28,7 +28,7 @@
     ReportPrimary,
 )
 from poplarspoke.generated.relay import LogDecision
-from poplarspoke.generated.rules import EndpointRole
+from poplarspoke.generated.rules import EndpointEntry, EndpointRole
 from poplarspoke.tasks import ToHost, ToTask
 
 # A row that shows an outdated role is waited for this long.
@@ -176,21 +176,22 @@
         for entry in state['endpoints'].values()
         if entry.service == service and entry.endpoint != record.endpoint
     ]
-    if not others:
+    if not others or not state['tables'][ENDPOINTS]['complete']:
         return ''
     entry = state['endpoints'].get(record.endpoint)
     if entry is None:
-        table = state['tables'][ENDPOINTS]
-        return 'gone' if table['complete'] else ''
+        return 'gone'
+    return _judge_entry(state, entry)
+
+
+def _judge_entry(state: ControlState, entry: EndpointEntry) -> str:
     if entry.draining:
         return 'draining'
     if entry.zone in state['evacuated']:
         return 'zone evacuated'
     if entry.role is EndpointRole.REPLICA:
         return 'not primary'
-    if record.endpoint in state['silent']:
-        return SILENT
-    return ''
+    return SILENT if entry.endpoint in state['silent'] else ''
 
 
 def _create_report(
@@ -283,10 +284,10 @@
 
 
 def _take(state: ControlState, now_s: float) -> list[Any]:
-    pending = any(
-        type(purpose) is TakeDuty for purpose in state['writes'].values()
-    )
-    if pending or not state['tables'][RECORDS]['complete']:
+    if (
+        TakeDuty() in state['writes'].values()
+        or not state['tables'][RECORDS]['complete']
+    ):
         return []
     duty = state['duty']
     record = DutyRecord(
--- a/poplarspoke/control/handover.py
+++ b/poplarspoke/control/handover.py
@@ -29,6 +29,7 @@
     Ordering,
     Recording,
     Releasing,
+    Step,
 )
 from poplarspoke.control.tables import LEASE_S, RELAY
 from poplarspoke.generated.common import Position
@@ -130,11 +131,12 @@
             now_s,
             f'hosts without an answer: {",".join(sorted(missing)) or "none"}',
         )
-        change['step'] = Choosing(now_s, now_s)
-        return [line, *advance(change['step'], state, change, now_s)]
+        choosing = Choosing(now_s, now_s)
+        _enter(change, choosing)
+        return [line, *advance(choosing, state, change, now_s)]
     if now_s < step.next_s:
         return []
-    change['step'] = Releasing(now_s + ASK_AGAIN_S)
+    _enter(change, Releasing(now_s + ASK_AGAIN_S))
     request = AskRelease(own, change['service'], change['number'])
     return [ToHost(host, request) for host in sorted(missing)]
 
@@ -147,11 +149,11 @@
     chosen = _choose(state, change, waited_s)
     if chosen and now_s >= state['duty_wait_s']:
         change['candidate'] = chosen
-        change['step'] = Naming(now_s)
+        _enter(change, Naming(now_s))
         return [_write_row(state, change, PrimaryPhase.CHANGING)]
     if now_s < step.next_s:
         return []
-    change['step'] = Choosing(step.since_s, now_s + ASK_AGAIN_S)
+    _enter(change, Choosing(step.since_s, now_s + ASK_AGAIN_S))
     return _query_all(state, change)
 
 
@@ -164,7 +166,7 @@
     if now_s - step.since_s > CONFIRM_S:
         return _choose_again(state, change, now_s, 'no answer to the order')
     # The duty is proved again before each order.
-    change['step'] = Naming(now_s)
+    _enter(change, Naming(now_s))
     return [_write_row(state, change, PrimaryPhase.CHANGING)]
 
 
@@ -176,7 +178,7 @@
         return _choose_again(state, change, now_s, 'it did not lead in time')
     if now_s < step.next_s:
         return []
-    change['step'] = Confirming(step.since_s, now_s + CONFIRM_AGAIN_S)
+    _enter(change, Confirming(step.since_s, now_s + CONFIRM_AGAIN_S))
     return _query(state, change, change['candidate'], 0)
 
 
@@ -203,12 +205,13 @@
     if change is None or not message.answered:
         return []
     change['states'][message.endpoint] = message
-    if type(change['step']) is not Confirming:
-        return advance(change['step'], state, change, now_s)
+    step = change['step']
+    if not isinstance(step, Confirming):
+        return advance(step, state, change, now_s)
     leads = message.role is EndpointRole.PRIMARY
     if message.endpoint != change['candidate'] or not leads:
         return []
-    change['step'] = Recording()
+    _enter(change, Recording())
     return [_write_row(state, change, PrimaryPhase.STABLE)]
 
 
@@ -222,7 +225,7 @@
     if change is None or change['candidate'] != message.endpoint:
         return []
     step = change['step']
-    if type(step) is not Ordering:
+    if not isinstance(step, Ordering):
         return []
     line = _log(
         change,
@@ -231,13 +234,13 @@
         f'{message.endpoint}: {message.status}',
     )
     if message.status == HTTP_OK:
-        change['step'] = Confirming(now_s, now_s + CONFIRM_AGAIN_S)
+        _enter(change, Confirming(now_s, now_s + CONFIRM_AGAIN_S))
         return [line]
     if message.status == HTTP_CONFLICT:
         change['excluded'].add(message.endpoint)
         again = _choose_again(state, change, now_s, 'it is not running')
         return [line, *again]
-    change['step'] = Ordering(step.since_s, now_s + ASK_AGAIN_S)
+    _enter(change, Ordering(step.since_s, now_s + ASK_AGAIN_S))
     return [line]
 
 
@@ -280,8 +283,9 @@
 ) -> list[Any]:
     change['claimed_s'] = now_s
     change['claim_version'] = written.version
-    change['step'] = Releasing(now_s)
-    return advance(change['step'], state, change, now_s)
+    releasing = Releasing(now_s)
+    _enter(change, releasing)
+    return advance(releasing, state, change, now_s)
 
 
 @_go_on.register
@@ -293,9 +297,9 @@
     now_s: float,
 ) -> list[Any]:
     if now_s - step.sent_s > ORDER_S:
-        change['step'] = Naming(now_s)
+        _enter(change, Naming(now_s))
         return [_write_row(state, change, PrimaryPhase.CHANGING)]
-    change['step'] = Ordering(now_s, now_s + CONFIRM_S)
+    _enter(change, Ordering(now_s, now_s + CONFIRM_S))
     order = OrderPromotion(
         change['service'],
         change['candidate'],
@@ -323,6 +327,10 @@
     return _log(change, 'change of primary dropped', now_s)
 
 
+def _enter(change: Change, step: Step) -> None:
+    change['step'] = step
+
+
 def _write_row(
     state: ControlState,
     change: Change,
@@ -391,14 +399,8 @@
     """Returns the endpoint to promote, empty while it is too early."""
     best = ''
     best_log = Position()
-    for name, known in change['states'].items():
-        entry = state['endpoints'].get(name)
-        if entry is None or name == change['old']:
-            continue
-        if name in change['excluded'] or entry.draining:
-            continue
-        if entry.zone in state['evacuated']:
-            continue
+    for name in _list_candidates(state, change):
+        known = change['states'][name]
         if known.role is EndpointRole.PRIMARY:
             return name
         if not best or known.received > best_log:
@@ -414,6 +416,17 @@
     return best
 
 
+def _list_candidates(state: ControlState, change: Change) -> list[str]:
+    names: list[str] = []
+    for name in change['states'].keys() - change['excluded']:
+        entry = state['endpoints'].get(name)
+        if entry is None or name == change['old'] or entry.draining:
+            continue
+        if entry.zone not in state['evacuated']:
+            names.append(name)
+    return sorted(names)
+
+
 def _is_complete(state: ControlState, change: Change) -> bool:
     if change['reason'] in PLANNED:
         return False
@@ -444,7 +457,7 @@
         change['excluded'].clear()
     change['candidate'] = ''
     change['states'].clear()
-    change['step'] = Choosing(now_s, now_s)
+    _enter(change, Choosing(now_s, now_s))
     return [line]
 
 
--- a/poplarspoke/control/links.py
+++ b/poplarspoke/control/links.py
@@ -36,10 +36,11 @@
     async def __aenter__(self) -> Self:
         """Binds the socket."""
         loop = asyncio.get_running_loop()
-        self._transport, _protocol = await loop.create_datagram_endpoint(
+        endpoint = await loop.create_datagram_endpoint(
             lambda: LinkProtocol(self._receive, self._log),
             local_addr=(self._ip, self._port),
         )
+        self._transport = endpoint[0]
         return self
 
     async def __aexit__(self, *_exc: object) -> None:
--- a/poplarspoke/control/tables.py
+++ b/poplarspoke/control/tables.py
@@ -148,15 +148,25 @@
         changed.append(row)
     if message.complete:
         table['complete'] = True
-        for key, known in list(table['rows'].items()):
-            if key in seen or known.removed:
-                continue
-            gone = TableRow(key=key, version=message.version, removed=True)
-            table['rows'][key] = gone
-            changed.append(gone)
+        changed.extend(_remove_missing(table, seen, message.version))
     return changed
 
 
+def _remove_missing(
+    table: Table,
+    seen: set[str],
+    version: int,
+) -> list[TableRow]:
+    removed: list[TableRow] = []
+    for key, known in list(table['rows'].items()):
+        if key in seen or known.removed:
+            continue
+        gone = TableRow(key=key, version=version, removed=True)
+        table['rows'][key] = gone
+        removed.append(gone)
+    return removed
+
+
 def _apply_row(
     state: ControlState,
     table: str,
--- a/poplarspoke/platform/boot.py
+++ b/poplarspoke/platform/boot.py
@@ -39,7 +39,7 @@
         return decode_settings(fields)
     except (OSError, yaml.YAMLError) as exc:
         raise BootError(f'{path} cannot be read: {exc}') from exc
-    except (KeyError, TypeError, ValueError, IndexError) as exc:
+    except (LookupError, TypeError, ValueError) as exc:
         raise BootError(f'{path} lacks or misstates {exc}') from exc
 
 
--- a/poplarspoke/platform/rows.py
+++ b/poplarspoke/platform/rows.py
@@ -102,15 +102,15 @@
 
 
 def _take_text(found: Any) -> str:
-    if type(found) is not str or not found:
+    if not isinstance(found, str) or not found:
         raise ValueError('no text')
-    return str(found)
+    return found
 
 
 def _take_count(found: Any) -> int:
-    if type(found) is not int or found < 0:
+    if not isinstance(found, int) or isinstance(found, bool) or found < 0:
         raise ValueError('no count')
-    return int(found)
+    return found
 
 
 def _take_address(found: Any) -> str:
--- a/poplarspoke/platform/statements.py
+++ b/poplarspoke/platform/statements.py
@@ -74,11 +74,7 @@
     """
     word, _, rest = line.partition(' ')
     if word == 'QUERY':
-        request_id, _, text = rest.partition(' ')
-        verb, _, fields = text.partition(' ')
-        decode = STATEMENTS.get(verb)
-        message = decode and decode(session, request_id, text, fields)
-        return message or UnknownStatement(session, request_id)
+        return _decode_query(session, rest)
     if word == 'START':
         database, _, key = rest.partition(' ')
         return StartSession(session, database, key)
@@ -87,6 +83,14 @@
     raise ProtocolError('unknown message')
 
 
+def _decode_query(session: int, rest: str) -> Any:
+    request_id, _, text = rest.partition(' ')
+    verb, _, fields = text.partition(' ')
+    decode = STATEMENTS.get(verb)
+    message = decode and decode(session, request_id, text, fields)
+    return message or UnknownStatement(session, request_id)
+
+
 def encode_answer(answer: SendAnswer) -> bytes:
     """Returns the lines of an answer to a caller."""
     lines = [f'ROW {row}' for row in answer.rows]
@@ -183,7 +187,8 @@
             self._code = AnswerCode.DONE
             self._detail = rest
         elif word == 'ERROR':
-            name, _, self._detail = rest.partition(' ')
+            name, _, detail = rest.partition(' ')
+            self._detail = detail
             self._code = CODES.get(name, AnswerCode.FAILED)
         elif word == 'READY':
             return self._finish(rest)
--- /dev/null
+++ b/poplarspoke/relay/deadlines.py
@@ -0,0 +1,160 @@
+"""Acts on operations that have waited for long."""
+
+from typing import Any
+
+from poplarspoke.generated.relay import AnswerCode, SessionPhase
+from poplarspoke.relay import (
+    answers,
+    operations,
+    outcomes,
+    pool,
+    quotas,
+    routing,
+)
+from poplarspoke.relay.state import NO_CONNECTION, Operation, RelayState
+
+# Part of the latency objective that a statement waits for a connection.
+QUEUE_PART = 0.8
+# A change of primary takes 0.3 s to 1.0 s on the platform; a caller that is
+# told to come back has two retries only.
+CHANGE_WAIT_S = 0.6
+# A read is sent to another endpoint after this part of its objective.
+PATIENCE_PART = 0.75
+
+
+def check_time(
+    state: RelayState,
+    operation: Operation,
+    now_s: float,
+) -> list[Any]:
+    """Acts on an operation that has waited for long."""
+    if operation['awaits_rate']:
+        return _check_rate(state, operation, now_s)
+    if not operation['sent_s']:
+        return _check_wait(state, operation, now_s)
+    if now_s >= operation['deadline_s']:
+        return _time_out(state, operation, now_s)
+    patience_s = operation['route'].target_latency_s * PATIENCE_PART
+    first_try = operation['attempts'] == 1 and operation['may_repeat']
+    if first_try and now_s - operation['sent_s'] > patience_s:
+        return _move(state, operation, now_s)
+    return []
+
+
+def serve_rate(
+    state: RelayState,
+    workspace: str,
+    now_s: float,
+) -> list[Any]:
+    """Admits operations that waited for a token of a workspace."""
+    outgoing: list[Any] = []
+    for operation in list(state['operations'].values()):
+        if not operation['awaits_rate'] or operation['workspace'] != workspace:
+            continue
+        if not quotas.admit(state, workspace, now_s):
+            break
+        operation['awaits_rate'] = False
+        outgoing.extend(operations.place(state, operation, now_s))
+    return outgoing
+
+
+def _check_rate(
+    state: RelayState,
+    operation: Operation,
+    now_s: float,
+) -> list[Any]:
+    workspace = operation['workspace']
+    if quotas.admit(state, workspace, now_s):
+        operation['awaits_rate'] = False
+        return operations.place(state, operation, now_s)
+    if now_s - operation['arrived_s'] < quotas.WAIT_S:
+        return quotas.ask_peers(state, workspace, now_s)
+    return outcomes.give_up(state, operation, now_s, 'rate exceeded')
+
+
+def _check_wait(
+    state: RelayState,
+    operation: Operation,
+    now_s: float,
+) -> list[Any]:
+    if now_s >= operation['deadline_s']:
+        return _abandon(state, operation, now_s, 'timeout before it was sent')
+    if operation['connection']:
+        return []
+    waited_s = now_s - operation['arrived_s']
+    limit_s = operation['route'].target_latency_s * QUEUE_PART
+    service = operation['route'].service
+    if not routing.find_primary(state, service, now_s):
+        limit_s = CHANGE_WAIT_S
+    if waited_s > limit_s:
+        return outcomes.give_up(state, operation, now_s, 'no endpoint is free')
+    if now_s < operation['not_before_s']:
+        return []
+    return operations.place(state, operation, now_s)
+
+
+def _abandon(
+    state: RelayState,
+    operation: Operation,
+    now_s: float,
+    reason: str,
+) -> list[Any]:
+    number = operation['connection']
+    session = state['sessions'][operation['session']]
+    operation['connection'] = NO_CONNECTION
+    if not number:
+        return outcomes.give_up(state, operation, now_s, reason)
+    closing = pool.close(state, number)
+    if session['connection'] == number:
+        session['connection'] = NO_CONNECTION
+        statement = operation['statement']
+        failed = outcomes.fail_transaction(state, session, statement, reason)
+        return [closing, *failed]
+    return [closing, *outcomes.give_up(state, operation, now_s, reason)]
+
+
+def _time_out(
+    state: RelayState,
+    operation: Operation,
+    now_s: float,
+) -> list[Any]:
+    session = state['sessions'][operation['session']]
+    number = operation['connection']
+    closing = pool.close(state, number)
+    reason = 'no answer within the timeout of the route'
+    if session['connection'] == number:
+        session['connection'] = NO_CONNECTION
+        lost = answers.lose_in_transaction(state, session, operation, reason)
+        return [closing, *lost]
+    if not operation['may_repeat']:
+        return [closing, *outcomes.answer_unknown(state, operation, reason)]
+    state['operations'].pop(session['session'], None)
+    code = AnswerCode.TIMEOUT
+    return [
+        closing,
+        outcomes.log_operation(operation, 'timed out', code, reason, now_s),
+        *outcomes.answer(state, session, code, reason, SessionPhase.IDLE),
+    ]
+
+
+def _move(
+    state: RelayState,
+    operation: Operation,
+    now_s: float,
+) -> list[Any]:
+    """Sends a read without an answer to another endpoint."""
+    number = operation['connection']
+    connection = state['connections'][number]
+    operation['tried'].add(connection['endpoint'])
+    others = [
+        name
+        for name in routing.rank_endpoints(state, operation, now_s)
+        if name != connection['endpoint']
+    ]
+    if not others:
+        return []
+    operation['connection'] = NO_CONNECTION
+    operation['sent_s'] = 0
+    operation['attempts'] += 1
+    closing = pool.close(state, number)
+    return [closing, *operations.place(state, operation, now_s)]
--- a/poplarspoke/relay/decisions.py
+++ b/poplarspoke/relay/decisions.py
@@ -17,7 +17,6 @@
     EndpointAnswered,
     EndpointLost,
     EndpointReady,
-    EndpointSilent,
     EndpointsKnown,
     ExecutePrepared,
     ForgetPrepared,
@@ -31,7 +30,6 @@
     RollBackTransaction,
     SessionClosed,
     SessionOpened,
-    SessionPhase,
     SessionStarted,
     SetValue,
     ShutDown,
@@ -40,7 +38,16 @@
     WriteItem,
 )
 from poplarspoke.generated.rules import Ruleset
-from poplarspoke.relay import operations, pool, quotas, statements
+from poplarspoke.relay import (
+    answers,
+    deadlines,
+    operations,
+    outcomes,
+    pool,
+    quotas,
+    statements,
+    upkeep,
+)
 from poplarspoke.relay.state import (
     NO_CONNECTION,
     RelayState,
@@ -48,21 +55,10 @@
     create_endpoint,
     create_session,
 )
-from poplarspoke.tasks import ToHost, ToTask
+from poplarspoke.tasks import ToHost
 
 # Statements that a caller may send without waiting for answers.
 MAX_BACKLOG = 64
-# An endpoint that leaves statements unanswered for so long is silent; the
-# longest work is 0.17 s and a slow endpoint takes five times as long.
-SILENCE_S = 0.9
-# New connections that no answer came to; TCP alone would wait for seconds.
-OPEN_TIMEOUT_S = 0.6
-# Sessions are closed spread over this time at a shutdown.
-CLOSE_SPREAD_S = 2.5
-# Part of the grace period that open transactions have to end.
-TRANSACTION_PART = 0.5
-# Transactions are ended this much later than the platform's bound allows.
-IDLE_MARGIN_S = 0.2
 
 
 @functools.singledispatch
@@ -83,7 +79,7 @@
     session = state['sessions'].get(message.session)
     if session is None:
         return []
-    return operations.end_session(state, session)
+    return outcomes.end_session(state, session)
 
 
 @decide.register
@@ -92,7 +88,7 @@
     if session is None:
         return []
     if session['started']:
-        return operations.end_session(state, session)
+        return outcomes.end_session(state, session)
     route = state['routes'].get(message.database)
     code = AnswerCode.DONE
     if route is None:
@@ -129,7 +125,7 @@
     if session is None:
         return []
     if not session['started'] or len(session['backlog']) > MAX_BACKLOG:
-        return operations.end_session(state, session)
+        return outcomes.end_session(state, session)
     session['backlog'].append(message)
     return _run_backlog(state, session, now_s)
 
@@ -153,7 +149,7 @@
     if connection is None:
         return []
     session = state['sessions'].get(connection['session'])
-    outgoing = operations.take_answer(state, connection, message, now_s)
+    outgoing = answers.take_answer(state, connection, message, now_s)
     if session is not None:
         outgoing.extend(_run_backlog(state, session, now_s))
     return outgoing
@@ -171,7 +167,7 @@
         request = pool.refuse_room(state, name, now_s)
         outgoing.extend(ToHost(peer, request) for peer in state['peers'])
     elif endpoint is not None and not message.connected:
-        _note_failure(state, name, now_s)
+        upkeep.note_failure(state, name, now_s)
     session = state['sessions'].get(connection['session'])
     if message.code is AnswerCode.TOO_MANY and session is not None:
         outgoing.extend(
@@ -179,9 +175,7 @@
         )
         return outgoing
     reason = f'connection to {name} was lost'
-    outgoing.extend(
-        operations.lose_connection(state, connection, now_s, reason)
-    )
+    outgoing.extend(answers.lose_connection(state, connection, now_s, reason))
     if session is not None:
         outgoing.extend(_run_backlog(state, session, now_s))
     return outgoing
@@ -260,7 +254,7 @@
 def _(message: LendTokens, state: RelayState, now_s: float) -> list[Any]:
     if not quotas.take_loan(state, message, now_s):
         return []
-    return operations.serve_rate(state, message.workspace, now_s)
+    return deadlines.serve_rate(state, message.workspace, now_s)
 
 
 @decide.register
@@ -295,14 +289,14 @@
         operation = state['operations'].get(number)
         if operation is None:
             continue
-        outgoing.extend(operations.check_time(state, operation, now_s))
+        outgoing.extend(deadlines.check_time(state, operation, now_s))
         session = state['sessions'].get(number)
         if session is not None and number not in state['operations']:
             outgoing.extend(_run_backlog(state, session, now_s))
-    outgoing.extend(_check_connections(state, now_s))
+    outgoing.extend(upkeep.check_connections(state, now_s))
     outgoing.extend(pool.close_unused(state, now_s))
     quotas.expire_loans(state, now_s)
-    outgoing.extend(_check_sessions(state, now_s))
+    outgoing.extend(upkeep.check_sessions(state, now_s))
     return outgoing
 
 
@@ -342,15 +336,6 @@
     return []
 
 
-def _note_failure(state: RelayState, name: str, now_s: float) -> None:
-    endpoint = state['endpoints'][name]
-    endpoint['failures'] += 1
-    wait_s = operations.AVOID_S * 2 ** min(endpoint['failures'], 10)
-    endpoint['avoid_until_s'] = now_s + min(wait_s, operations.MAX_AVOID_S)
-    if not endpoint['silent_since_s']:
-        endpoint['silent_since_s'] = now_s
-
-
 def _remove_endpoint(
     state: RelayState,
     name: str,
@@ -365,82 +350,3 @@
         outgoing.append(pool.close(state, number))
     state['endpoints'].pop(name)
     return outgoing
-
-
-def _check_connections(state: RelayState, now_s: float) -> list[Any]:
-    outgoing: list[Any] = []
-    for number in list(state['connections']):
-        connection = state['connections'].get(number)
-        if connection is None:
-            continue
-        waited_s = now_s - connection['sent_s']
-        if not connection['ready'] and waited_s > OPEN_TIMEOUT_S:
-            outgoing.extend(_fail_connection(state, number, now_s))
-            continue
-        if connection['in_flight'] is None or waited_s < SILENCE_S:
-            continue
-        endpoint = state['endpoints'].get(connection['endpoint'])
-        if endpoint is None or endpoint['heard_s'] > connection['sent_s']:
-            continue
-        if not endpoint['silent_since_s']:
-            endpoint['silent_since_s'] = connection['sent_s']
-    for name, endpoint in state['endpoints'].items():
-        if not endpoint['silent_since_s']:
-            continue
-        if now_s - endpoint['silent_since_s'] < SILENCE_S:
-            continue
-        silent = EndpointSilent(
-            name, endpoint['entry'].service, endpoint['silent_since_s']
-        )
-        outgoing.append(ToTask('control', silent))
-    return outgoing
-
-
-def _fail_connection(
-    state: RelayState,
-    number: int,
-    now_s: float,
-) -> list[Any]:
-    connection = state['connections'][number]
-    closing = pool.close(state, number)
-    name = connection['endpoint']
-    if name in state['endpoints']:
-        _note_failure(state, name, now_s)
-    lost = operations.lose_connection(
-        state, connection, now_s, f'{name} does not accept connections'
-    )
-    return [closing, *lost]
-
-
-def _check_sessions(state: RelayState, now_s: float) -> list[Any]:
-    outgoing: list[Any] = []
-    idle_s = state['rules'].transaction_idle_s + IDLE_MARGIN_S
-    leaving_s = state['leaving_s']
-    for session in list(state['sessions'].values()):
-        number = session['session']
-        if number in state['operations'] or session['backlog']:
-            continue
-        quiet_s = now_s - session['used_s']
-        if session['phase'] is SessionPhase.IDLE:
-            if leaving_s and _is_time_to_close(state, session, now_s):
-                outgoing.extend(operations.end_session(state, session))
-            continue
-        limit_s = idle_s
-        if leaving_s:
-            grace_s = state['settings'].grace_s * TRANSACTION_PART
-            limit_s = min(limit_s, grace_s - (leaving_s - session['used_s']))
-        if quiet_s > limit_s and session['connection']:
-            outgoing.append(pool.close(state, session['connection']))
-            session['connection'] = NO_CONNECTION
-            session['phase'] = SessionPhase.FAILED
-    return outgoing
-
-
-def _is_time_to_close(
-    state: RelayState,
-    session: Session,
-    now_s: float,
-) -> bool:
-    """Spreads the closes, so that callers do not all reconnect at once."""
-    part = (session['session'] % 16) / 16
-    return now_s - state['leaving_s'] > part * CLOSE_SPREAD_S
--- /dev/null
+++ b/poplarspoke/relay/outcomes.py
@@ -0,0 +1,179 @@
+"""How statements end without an answer of an endpoint.
+
+A refusal that says "not run" is true; a statement whose fate is unknown is
+answered with an unknown outcome.
+"""
+
+import functools
+from typing import Any
+
+from poplarspoke.generated.relay import (
+    AnswerCode,
+    CommitTransaction,
+    EndSession,
+    ExecutePrepared,
+    LogDecision,
+    RollBackTransaction,
+    SendAnswer,
+    SessionPhase,
+    WriteItem,
+)
+from poplarspoke.relay import pool
+from poplarspoke.relay.state import (
+    NO_CONNECTION,
+    Operation,
+    RelayState,
+    Session,
+)
+
+MS_PER_S = 1000
+# Callers that were refused return spread over this time.
+RETRY_SPREAD_S = 0.2
+
+
+@functools.singledispatch
+def is_write(statement: Any, session: Session) -> bool:
+    """Returns whether a statement writes."""
+    return False
+
+
+@is_write.register
+def _(statement: WriteItem, session: Session) -> bool:
+    return True
+
+
+@is_write.register
+def _(statement: ExecutePrepared, session: Session) -> bool:
+    prepared = session['prepared'].get(statement.name)
+    return prepared is not None and prepared.writes
+
+
+@functools.singledispatch
+def is_write_commit(statement: Any, session: Session) -> bool:
+    return False
+
+
+@is_write_commit.register
+def _(statement: CommitTransaction, session: Session) -> bool:
+    return session['wrote']
+
+
+def give_up(
+    state: RelayState,
+    operation: Operation,
+    now_s: float,
+    reason: str,
+) -> list[Any]:
+    """Refuses an operation that has not run, with a time to come back."""
+    session = state['sessions'][operation['session']]
+    spread_s = state['rng'].uniform(0, RETRY_SPREAD_S)
+    wait_ms = int((RETRY_SPREAD_S + spread_s) * MS_PER_S)
+    state['operations'].pop(session['session'], None)
+    detail = f'{reason}; retry-after-ms={wait_ms}'
+    return [
+        log_operation(operation, 'refused', AnswerCode.BUSY, reason, now_s),
+        *answer(state, session, AnswerCode.BUSY, detail, SessionPhase.IDLE),
+    ]
+
+
+def answer_unknown(
+    state: RelayState,
+    operation: Operation,
+    reason: str,
+) -> list[Any]:
+    """Answers a write or commit that may have taken effect."""
+    session = state['sessions'][operation['session']]
+    session['position_unknown'] = True
+    session['connection'] = NO_CONNECTION
+    state['operations'].pop(session['session'], None)
+    code = AnswerCode.UNKNOWN_OUTCOME
+    return [
+        log_operation(operation, 'outcome unknown', code, reason, 0),
+        *answer(state, session, code, reason, SessionPhase.IDLE),
+    ]
+
+
+def fail_transaction(
+    state: RelayState,
+    session: Session,
+    statement: Any,
+    reason: str,
+) -> list[Any]:
+    """Tells the caller that its transaction has been rolled back."""
+    state['operations'].pop(session['session'], None)
+    ends = isinstance(statement, CommitTransaction | RollBackTransaction)
+    phase = SessionPhase.IDLE if ends else SessionPhase.FAILED
+    code = AnswerCode.ABORTED
+    if isinstance(statement, RollBackTransaction):
+        return answer(state, session, AnswerCode.DONE, '-', phase)
+    line = LogDecision(
+        request_id=statement.request_id,
+        event='transaction rolled back',
+        outcome=code.name.lower(),
+        database=session['database'],
+        workspace=session['workspace'],
+        reason=reason,
+    )
+    return [line, *answer(state, session, code, reason, phase)]
+
+
+def answer(
+    state: RelayState,
+    session: Session,
+    code: AnswerCode,
+    detail: str,
+    phase: SessionPhase,
+) -> list[Any]:
+    """Answers a caller without rows and sets the phase of its session."""
+    session['phase'] = phase
+    return [SendAnswer(session['session'], code, (), detail, phase)]
+
+
+def refuse(
+    state: RelayState,
+    session: Session,
+    statement: Any,
+    code: AnswerCode,
+) -> list[Any]:
+    """Refuses a statement that the session may not run now."""
+    line = LogDecision(
+        request_id=statement.request_id,
+        event='refused',
+        outcome=code.name.lower(),
+        database=session['database'],
+    )
+    reply = answer(state, session, code, 'not run', session['phase'])
+    return [line, *reply]
+
+
+def log_operation(
+    operation: Operation,
+    event: str,
+    code: AnswerCode,
+    reason: str,
+    now_s: float,
+) -> LogDecision:
+    age_s = max(now_s - operation['arrived_s'], 0) if now_s else 0
+    return LogDecision(
+        request_id=operation['statement'].request_id,
+        event=event,
+        outcome=code.name.lower(),
+        endpoint=','.join(sorted(operation['tried'])),
+        database=operation['route'].database,
+        workspace=operation['workspace'],
+        reason=reason,
+        age_s=age_s,
+    )
+
+
+def end_session(state: RelayState, session: Session) -> list[Any]:
+    """Closes a caller's connection, and the one that it holds."""
+    number = session['connection']
+    state['sessions'].pop(session['session'], None)
+    operation = state['operations'].pop(session['session'], None)
+    if operation is not None and operation['connection']:
+        number = operation['connection']
+    outgoing: list[Any] = [EndSession(session['session'])]
+    if number:
+        outgoing.append(pool.close(state, number))
+    return outgoing
--- a/poplarspoke/relay/pool.py
+++ b/poplarspoke/relay/pool.py
@@ -154,27 +154,16 @@
 ) -> list[Any]:
     """Closes connections that have been unused for long."""
     outgoing: list[Any] = []
-    for name, endpoint in state['endpoints'].items():
-        share = share_connections(state, name)
-        extra = len(endpoint['connections']) - share
-        for number in list_idle(state, name):
-            idle_s = now_s - state['connections'][number]['used_s']
-            limit_s = EXTRA_IDLE_S if extra > 0 else IDLE_S
-            if idle_s < limit_s and not endpoint['leaving_since_s']:
-                continue
-            extra -= 1
-            outgoing.append(close(state, number))
+    for name in state['endpoints']:
+        outgoing.extend(_close_endpoint_unused(state, name, now_s))
     return outgoing
 
 
 def list_idle(state: RelayState, endpoint: str) -> list[int]:
     """Returns unused connections to an endpoint, the longest unused first."""
-    idle: list[tuple[float, int]] = []
-    for number in state['endpoints'][endpoint]['connections']:
-        connection = state['connections'][number]
-        if connection['ready'] and not connection['session']:
-            idle.append((connection['used_s'], number))
-    return [number for _used_s, number in sorted(idle)]
+    idle = _list_unused(state, endpoint)
+    idle.sort(key=lambda connection: connection['used_s'])
+    return [connection['connection'] for connection in idle]
 
 
 def refuse_room(
@@ -195,6 +184,33 @@
     return [close(state, number) for number in idle[:1]]
 
 
+def _list_unused(state: RelayState, endpoint: str) -> list[Connection]:
+    unused: list[Connection] = []
+    for number in state['endpoints'][endpoint]['connections']:
+        connection = state['connections'][number]
+        if connection['ready'] and not connection['session']:
+            unused.append(connection)
+    return unused
+
+
+def _close_endpoint_unused(
+    state: RelayState,
+    name: str,
+    now_s: float,
+) -> list[Any]:
+    outgoing: list[Any] = []
+    endpoint = state['endpoints'][name]
+    extra = len(endpoint['connections']) - share_connections(state, name)
+    for number in list_idle(state, name):
+        idle_s = now_s - state['connections'][number]['used_s']
+        limit_s = EXTRA_IDLE_S if extra > 0 else IDLE_S
+        if idle_s < limit_s and not endpoint['leaving_since_s']:
+            continue
+        extra -= 1
+        outgoing.append(close(state, number))
+    return outgoing
+
+
 def _find_idle(
     state: RelayState,
     operation: Operation,
@@ -203,17 +219,10 @@
 ) -> Connection | None:
     best: Connection | None = None
     best_steps = 0
-    for number in state['endpoints'][endpoint]['connections']:
-        connection = state['connections'][number]
-        if connection['session'] or not connection['ready']:
-            continue
+    for connection in _list_unused(state, endpoint):
         if connection['workspace'] != operation['workspace']:
             continue
-        # A value cannot be unset without a reset, which costs more than a
-        # new connection.
-        if not connection['values'].keys() <= session['values'].keys():
-            continue
-        if len(connection['aliases']) > MAX_ALIASES:
+        if not _is_fit(connection, session):
             continue
         steps = len(list_steps(session, connection, operation['statement']))
         if best is None or steps < best_steps:
@@ -222,11 +231,19 @@
     return best
 
 
+def _is_fit(connection: Connection, session: Session) -> bool:
+    # A value cannot be unset without a reset, which costs more than a new
+    # connection.
+    if not connection['values'].keys() <= session['values'].keys():
+        return False
+    return len(connection['aliases']) <= MAX_ALIASES
+
+
 def _count_busy(state: RelayState, endpoint: str) -> int:
-    busy = 0
-    for number in state['endpoints'][endpoint]['connections']:
-        busy += state['connections'][number]['session'] != 0
-    return busy
+    numbers = state['endpoints'][endpoint]['connections']
+    return sum(
+        state['connections'][number]['session'] != 0 for number in numbers
+    )
 
 
 def _find_evictable(state: RelayState, endpoint: str) -> int | None:
@@ -275,4 +292,4 @@
 
 def is_start(statement: Any) -> bool:
     """Returns whether a statement starts a transaction."""
-    return type(statement) is BeginTransaction
+    return isinstance(statement, BeginTransaction)
--- a/poplarspoke/relay/quotas.py
+++ b/poplarspoke/relay/quotas.py
@@ -174,4 +174,4 @@
     bucket = state['buckets'].get(workspace)
     if bucket is None or not bucket['rate']:
         return 1
-    return min(max(1 / (bucket['rate'] * max(bucket['floor'], 0.01)), 0.05), 2)
+    return 1 / bucket['rate']
--- a/poplarspoke/relay/routing.py
+++ b/poplarspoke/relay/routing.py
@@ -84,22 +84,24 @@
     """Returns the endpoints that may run an operation, the best first."""
     service = operation['route'].service
     primary = find_primary(state, service, now_s)
+    primary_cost = 1 if operation['needs_primary'] else PRIMARY_COST
     usable: list[tuple[float, str]] = []
     for name, endpoint in state['endpoints'].items():
-        if endpoint['entry'].service != service:
-            continue
-        if name != primary and not _is_replica_usable(
-            state, operation, endpoint, now_s
-        ):
-            continue
-        if now_s < endpoint['avoid_until_s']:
+        if _is_left_out(endpoint, service, now_s):
             continue
         cost = _estimate_cost(state, operation, endpoint, now_s)
-        if name == primary and not operation['needs_primary']:
-            cost *= PRIMARY_COST
+        if name == primary:
+            cost *= primary_cost
+        elif not _is_replica_usable(state, operation, endpoint, now_s):
+            continue
         usable.append((cost, name))
-    usable.sort()
-    return [name for _cost, name in usable]
+    return [entry[1] for entry in sorted(usable)]
+
+
+def _is_left_out(endpoint: Endpoint, service: str, now_s: float) -> bool:
+    if endpoint['entry'].service != service:
+        return True
+    return now_s < endpoint['avoid_until_s']
 
 
 def _is_replica_usable(
--- a/poplarspoke/relay/statements.py
+++ b/poplarspoke/relay/statements.py
@@ -17,7 +17,7 @@
     UnknownStatement,
     WriteItem,
 )
-from poplarspoke.relay import operations, pool
+from poplarspoke.relay import operations, outcomes, pool
 from poplarspoke.relay.state import NO_CONNECTION, RelayState, Session
 
 
@@ -39,7 +39,7 @@
     session: Session,
     now_s: float,
 ) -> list[Any]:
-    return operations.refuse(state, session, statement, AnswerCode.MALFORMED)
+    return outcomes.refuse(state, session, statement, AnswerCode.MALFORMED)
 
 
 @run.register
@@ -50,9 +50,7 @@
     now_s: float,
 ) -> list[Any]:
     if session['phase'] is not SessionPhase.IDLE:
-        return operations.refuse(
-            state, session, statement, AnswerCode.MALFORMED
-        )
+        return outcomes.refuse(state, session, statement, AnswerCode.MALFORMED)
     return operations.start(state, session, statement, now_s)
 
 
@@ -74,7 +72,7 @@
     now_s: float,
 ) -> list[Any]:
     if statement.name not in session['prepared']:
-        return operations.refuse(
+        return outcomes.refuse(
             state, session, statement, AnswerCode.NO_STATEMENT
         )
     return _run_item(statement, state, session, now_s)
@@ -88,12 +86,10 @@
     now_s: float,
 ) -> list[Any]:
     if session['phase'] is SessionPhase.IDLE:
-        return operations.refuse(
-            state, session, statement, AnswerCode.MALFORMED
-        )
+        return outcomes.refuse(state, session, statement, AnswerCode.MALFORMED)
     if session['connection'] == NO_CONNECTION:
         # The endpoint has rolled the transaction back already.
-        return operations.fail_transaction(
+        return outcomes.fail_transaction(
             state, session, statement, 'the transaction was rolled back'
         )
     return operations.continue_transaction(state, session, statement, now_s)
@@ -107,13 +103,11 @@
     now_s: float,
 ) -> list[Any]:
     if session['phase'] is SessionPhase.FAILED:
-        return operations.refuse(
-            state, session, statement, AnswerCode.MALFORMED
-        )
+        return outcomes.refuse(state, session, statement, AnswerCode.MALFORMED)
     if session['phase'] is SessionPhase.OPEN:
         return operations.continue_transaction(state, session, statement, now_s)
     session['values'][statement.name] = statement.content
-    return operations.answer(
+    return outcomes.answer(
         state, session, AnswerCode.DONE, '-', session['phase']
     )
 
@@ -126,9 +120,7 @@
     now_s: float,
 ) -> list[Any]:
     if session['phase'] is SessionPhase.FAILED:
-        return operations.refuse(
-            state, session, statement, AnswerCode.MALFORMED
-        )
+        return outcomes.refuse(state, session, statement, AnswerCode.MALFORMED)
     session['prepared'][statement.name] = statement
     connection = state['connections'].get(session['connection'])
     if connection is not None:
@@ -138,7 +130,7 @@
             return operations.continue_transaction(
                 state, session, statement, now_s
             )
-    return operations.answer(
+    return outcomes.answer(
         state, session, AnswerCode.DONE, '-', session['phase']
     )
 
@@ -151,14 +143,12 @@
     now_s: float,
 ) -> list[Any]:
     if session['phase'] is SessionPhase.FAILED:
-        return operations.refuse(
-            state, session, statement, AnswerCode.MALFORMED
-        )
+        return outcomes.refuse(state, session, statement, AnswerCode.MALFORMED)
     if session['prepared'].pop(statement.name, None) is None:
-        return operations.refuse(
+        return outcomes.refuse(
             state, session, statement, AnswerCode.NO_STATEMENT
         )
-    return operations.answer(
+    return outcomes.answer(
         state, session, AnswerCode.DONE, '-', session['phase']
     )
 
@@ -171,12 +161,10 @@
 ) -> list[Any]:
     if session['phase'] is SessionPhase.FAILED:
         if session['connection'] == NO_CONNECTION:
-            return operations.fail_transaction(
+            return outcomes.fail_transaction(
                 state, session, statement, 'the transaction was rolled back'
             )
-        return operations.refuse(
-            state, session, statement, AnswerCode.MALFORMED
-        )
+        return outcomes.refuse(state, session, statement, AnswerCode.MALFORMED)
     if session['phase'] is SessionPhase.OPEN:
         return operations.continue_transaction(state, session, statement, now_s)
     return operations.start(state, session, statement, now_s)
--- a/poplarspoke/relay/transport.py
+++ b/poplarspoke/relay/transport.py
@@ -30,7 +30,7 @@
     SessionPhase,
     SessionStarted,
 )
-from poplarspoke.relay import decisions
+from poplarspoke.relay import decisions, upkeep
 from poplarspoke.relay.messages import Forward
 from poplarspoke.relay.state import RelayState
 from poplarspoke.tasks import ToHost, ToTask
@@ -177,7 +177,7 @@
         loop = asyncio.get_running_loop()
         host, _, port = message.address.rpartition(':')
         try:
-            with anyio.fail_after(decisions.OPEN_TIMEOUT_S):
+            with anyio.fail_after(upkeep.OPEN_TIMEOUT_S):
                 await loop.create_connection(
                     lambda: EndpointProtocol(self, message),
                     host,
@@ -206,7 +206,8 @@
         """
         if self._buffer:
             received = self._buffer + received
-        *lines, self._buffer = received.split(LINE_END)
+        lines = received.split(LINE_END)
+        self._buffer = lines.pop()
         if len(self._buffer) > self.relay.codec.max_message_bytes:
             raise self.relay.codec.error('message too long')
         for line in lines:
--- a/poplarspoke/session_host.py
+++ b/poplarspoke/session_host.py
@@ -4,6 +4,7 @@
 """
 
 import functools
+import http
 import random
 import signal
 from collections.abc import Callable
@@ -21,11 +22,13 @@
 from poplarspoke.control.queries import Queries, QueryCodec
 from poplarspoke.control.views import VIEW_PATH, Views
 from poplarspoke.generated.control import (
+    AskReach,
     OrderPromotion,
     ShowView,
     WriteRecords,
 )
-from poplarspoke.generated.relay import LogDecision, ShutDown
+from poplarspoke.generated.rates import BorrowTokens, LendTokens
+from poplarspoke.generated.relay import LogDecision, ReleaseIdle, ShutDown
 from poplarspoke.generated.rules import HostSettings
 from poplarspoke.relay import decisions as relay_decisions
 from poplarspoke.relay import state as relay_state
@@ -39,6 +42,8 @@
 EXIT_MARGIN_S = 0.8
 SHUTDOWN_CHECK_S = 0.1
 VIEW_TIMEOUT_S = 0.5
+OK = http.HTTPStatus.OK
+UNAVAILABLE = http.HTTPStatus.SERVICE_UNAVAILABLE
 MS_PER_S = 1000
 
 
@@ -137,11 +142,7 @@
             await enter(
                 web.HttpServer(self._serve, host=host, port=int(port)),
             )
-        self.mesh.register('relay', self.relay.handle)
-        self.mesh.register('links', self.links.set_peers)  # type: ignore[arg-type]
-        self.mesh.register('views', views.fetch)  # type: ignore[arg-type]
-        self.mesh.register('endpoints', queries.send)  # type: ignore[arg-type]
-        self.mesh.register('log', self.write_log)  # type: ignore[arg-type]
+        self._register(views, queries)
         self.mesh.start(self.control, self._group)
         self.write_log(LogDecision(event='started', outcome=settings.name))
         return self
@@ -177,6 +178,17 @@
         }
         self._surroundings.log.info(line.event, **fields)
 
+    def _register(self, views: Views, queries: Queries) -> None:
+        inboxes: dict[str, Callable[[Any], Any]] = {
+            'relay': self.relay.handle,
+            'links': self.links.set_peers,
+            'views': views.fetch,
+            'endpoints': queries.send,
+            'log': self.write_log,
+        }
+        for name, inbox in inboxes.items():
+            self.mesh.register(name, inbox)
+
     def _deliver(self, outgoing: ToHost | ToTask) -> None:
         self.mesh.deliver(outgoing, self.control)
 
@@ -187,32 +199,36 @@
         send_to_store(message, self.feeds)
 
     def _receive(self, message: Any) -> None:
-        if type(message) in RELAY_MESSAGES:
-            self.relay.handle(message)
-            return
-        self.control.post(message)
+        receive(message, self)
 
     async def _serve(self, request: web.Request) -> web.Response:
         if request.path == self._surroundings.ready_path:
-            return web.Response(200 if self.control.state['ready'] else 503)
+            return web.Response(
+                OK if self.control.state['ready'] else UNAVAILABLE
+            )
         if request.path != VIEW_PATH:
-            return web.Response(404)
+            return web.Response(http.HTTPStatus.NOT_FOUND)
         self._requests += 1
         wanted = web.read_json(ShowView, request.body)
         view = await self.control.ask(
             wanted._replace(request_id=str(self._requests)),
             timeout_s=VIEW_TIMEOUT_S,
         )
-        return web.Response(200, web.write_json(view))
+        return web.Response(OK, web.write_json(view))
 
 
-# Datagrams that the relay decides on; the control task has the others.
-RELAY_MESSAGES = frozenset(
-    message
-    for message in relay_decisions.decide.registry
-    if message.__name__
-    in {'AskReach', 'BorrowTokens', 'LendTokens', 'ReleaseIdle'}
-)
+@functools.singledispatch
+def receive(message: Any, host: SessionHost) -> None:
+    """Passes a datagram to the task that decides on it."""
+    host.control.post(message)
+
+
+@receive.register
+def _(
+    message: AskReach | BorrowTokens | LendTokens | ReleaseIdle,
+    host: SessionHost,
+) -> None:
+    host.relay.handle(message)
 
 
 @functools.singledispatch
