Keep the duty with one holder while hosts are cut off

A superseded primary that nobody could demote was taken for the new one. Change: a new holder has its own time to answer; a host that no other host answers waits 12 s; peers pass reports on; an earlier claim's time counts for the wait for leases; an endpoint leads only in a newer term.

--- a/poplarspoke/control/duty.py
+++ b/poplarspoke/control/duty.py
@@ -36,6 +36,12 @@
 REPORT_AGAIN_S = 0.3
 # A holder that has not answered for so long is replaced.
 HOLDER_S = 0.9
+# A host that hears nobody takes the duty after this time, since all others
+# may be down. It is longer than a change takes that waits for a lease, so that
+# a host that is cut off does not stop the others' change.
+ALONE_S = 12.0
+# Other hosts that are asked whether they hear the holder.
+ASKED_PEERS = 2
 # Hosts that want the duty wait up to so long more, so that one comes first.
 TAKE_SPREAD_S = 0.3
 # A change that makes no progress is reported after this time.
@@ -82,9 +88,9 @@
     message: ReportPrimary,
     now_s: float,
 ) -> list[Any]:
-    """Answers a report as the holder, and judges it."""
+    """Answers a report; the holder judges it, others pass it on."""
     if not is_holder(state):
-        return []
+        return _pass_on(state, message, now_s)
     heard = ReportHeard(
         state['settings'].name,
         message.service,
@@ -109,6 +115,22 @@
     return outgoing
 
 
+def _pass_on(
+    state: ControlState,
+    message: ReportPrimary,
+    now_s: float,
+) -> list[Any]:
+    duty = state['duty'].record
+    own = state['settings'].name
+    ago_s = now_s - state['holder_heard_s']
+    answer = ReportHeard(own, message.service, duty.token, ago_s)
+    outgoing = [ToHost(message.sender, answer)]
+    if message.passed or duty.holder in {own, message.sender}:
+        return outgoing
+    passed = message._replace(sender=own, passed=True)
+    return [*outgoing, ToHost(duty.holder, passed)]
+
+
 def take_reach(
     state: ControlState,
     message: Reach,
@@ -138,10 +160,19 @@
     message: ReportHeard,
     now_s: float,
 ) -> None:
-    """Notes that the holder of the duty answers."""
+    """Notes that the holder of the duty answers this host or a peer."""
+    duty = state['duty'].record
+    if message.token != duty.token:
+        return
     report = state['reports'].get(message.service)
-    if report is not None and message.sender == state['duty'].record.holder:
-        report['heard_s'] = now_s
+    if message.sender == duty.holder:
+        state['holder_heard_s'] = now_s
+    if report is None:
+        return
+    report['peer_s'] = now_s
+    heard_s = now_s - message.holder_ago_s
+    if heard_s > report['heard_s']:
+        report['heard_s'] = heard_s
 
 
 def drop_changes(state: ControlState, now_s: float) -> list[Any]:
@@ -206,6 +237,7 @@
         reason=reason,
         since_s=now_s,
         heard_s=now_s,
+        peer_s=0,
         next_s=now_s,
         probed_s=0,
         reach={},
@@ -221,19 +253,37 @@
     if is_holder(state):
         return _act(state, report, now_s)
     holder = state['duty'].record.holder
-    spread_s = HOLDER_S + state['rng'].uniform(0, TAKE_SPREAD_S)
-    if not holder or now_s - report['heard_s'] > spread_s:
+    if not holder or _is_holder_gone(state, report, now_s):
         return _take(state, now_s)
     if now_s < report['next_s']:
         return []
     report['next_s'] = now_s + REPORT_AGAIN_S
+    own = state['settings'].name
     message = ReportPrimary(
-        state['settings'].name,
+        own,
         report['service'],
         report['endpoint'],
         report['reason'],
     )
-    return [ToHost(holder, message)]
+    others = sorted(state['hosts'].keys() - {own, holder})
+    asked = state['rng'].sample(others, min(ASKED_PEERS, len(others)))
+    return [ToHost(host, message) for host in (holder, *asked)]
+
+
+def _is_holder_gone(
+    state: ControlState,
+    report: Report,
+    now_s: float,
+) -> bool:
+    """Returns whether neither this host nor its peers hear the holder.
+
+    A host that no other host answers may itself be cut off, so it waits
+    longer.
+    """
+    silent_s = now_s - report['heard_s']
+    if now_s - report['peer_s'] > HOLDER_S:
+        return silent_s > ALONE_S
+    return silent_s > HOLDER_S + state['rng'].uniform(0, TAKE_SPREAD_S)
 
 
 def _act(state: ControlState, report: Report, now_s: float) -> list[Any]:
--- a/poplarspoke/control/handover.py
+++ b/poplarspoke/control/handover.py
@@ -90,6 +90,7 @@
         candidate=known.record.candidate,
         excluded=set(),
         demote_term=0,
+        term=known.record.term,
     )
     state['changes'][service] = change
     return [
@@ -115,7 +116,9 @@
 ) -> list[Any]:
     if state['tables'][RECORDS]['version'] < change['claim_version']:
         return []
-    ended_s = change['claimed_s'] + LEASE_S + LEASE_MARGIN_S
+    # An earlier holder may have claimed the change before.
+    since_s = state['changing_since_s'].get(change['service'], now_s)
+    ended_s = min(change['claimed_s'], since_s) + LEASE_S + LEASE_MARGIN_S
     missing = _list_holders(state, now_s) - change['released']
     own = state['settings'].name
     if own in missing:
@@ -208,9 +211,9 @@
     step = change['step']
     if not isinstance(step, Confirming):
         return advance(step, state, change, now_s)
-    leads = message.role is EndpointRole.PRIMARY
-    if message.endpoint != change['candidate'] or not leads:
+    if message.endpoint != change['candidate'] or not _leads(change, message):
         return []
+    change['term'] = message.term
     _enter(change, Recording())
     return [_write_row(state, change, PrimaryPhase.STABLE)]
 
@@ -345,6 +348,7 @@
         change=change['number'],
         candidate='' if stable else change['candidate'],
         reason=change['reason'],
+        term=change['term'],
     )
     known = state['primaries'][service]
     duty = state['duty']
@@ -401,7 +405,7 @@
     best_log = Position()
     for name in _list_candidates(state, change):
         known = change['states'][name]
-        if known.role is EndpointRole.PRIMARY:
+        if _leads(change, known):
             return name
         if not best or known.received > best_log:
             best = name
@@ -416,6 +420,16 @@
     return best
 
 
+def _leads(change: Change, known: EndpointState) -> bool:
+    """Returns whether an endpoint leads a newer term than the old primary.
+
+    A superseded primary that nobody could demote still says that it leads.
+    """
+    if known.role is not EndpointRole.PRIMARY:
+        return False
+    return known.term > change['term']
+
+
 def _list_candidates(state: ControlState, change: Change) -> list[str]:
     names: list[str] = []
     for name in change['states'].keys() - change['excluded']:
--- a/poplarspoke/control/state.py
+++ b/poplarspoke/control/state.py
@@ -146,6 +146,7 @@
         states: Newest answers of the endpoints.
         excluded: Endpoints that could not take over.
         demote_term: Term that the old primary is demoted with, 0 before.
+        term: Newest term that is known to have had a primary.
     """
 
     service: str
@@ -161,6 +162,7 @@
     candidate: str
     excluded: set[str]
     demote_term: int
+    term: int
 
 
 class Report(TypedDict):
@@ -169,6 +171,7 @@
     Attributes:
         since_s: When the reason was first seen.
         heard_s: When the holder of the duty last answered.
+        peer_s: When any other host last answered; 0 before.
         next_s: When it is reported again.
         probed_s: When this host, as the holder, asked the others; 0 before.
         reach: Answers of the other hosts.
@@ -179,6 +182,7 @@
     reason: str
     since_s: float
     heard_s: float
+    peer_s: float
     next_s: float
     probed_s: float
     reach: dict[str, Reach]
@@ -189,10 +193,13 @@
 
     Attributes:
         released: Change number up to which each primary was given up.
+        changing_since_s: When a primary's row was first seen to change; no
+            host has renewed its lease since then.
         absent_since_s: When an endpoint's row was first missing.
         silent: Endpoints that do not answer this host, with the start.
         writes: What the pending writes are for, by their number.
-        duty_seen_s: When this host took the duty; it waits before it acts.
+        duty_wait_s: Until when a new holder orders nothing.
+        holder_heard_s: When the holder of the duty last answered this host.
         removed_hosts: When the row of a host was seen to go.
     """
 
@@ -208,6 +215,7 @@
     duty: VersionedDuty
     primaries: dict[str, VersionedPrimary]
     released: dict[str, int]
+    changing_since_s: dict[str, float]
     absent_since_s: dict[str, float]
     silent: dict[str, float]
     reports: dict[str, Report]
@@ -215,6 +223,7 @@
     writes: dict[int, Purpose]
     next_write: int
     duty_wait_s: float
+    holder_heard_s: float
     bootstrap_s: float
     register_s: float
     view_s: float
@@ -244,6 +253,7 @@
         duty=VersionedDuty(DutyRecord(), 0),
         primaries={},
         released={},
+        changing_since_s={},
         absent_since_s={},
         silent={},
         reports={},
@@ -251,6 +261,7 @@
         writes={},
         next_write=1,
         duty_wait_s=0,
+        holder_heard_s=0,
         bootstrap_s=0,
         register_s=0,
         view_s=0,
--- a/poplarspoke/control/tables.py
+++ b/poplarspoke/control/tables.py
@@ -228,14 +228,17 @@
         state['hosts'][name] = codec.parse(HostRecord, _load(row))
         return []
     if row.key == DUTY_KEY:
-        record = codec.parse(DutyRecord, _load(row))
-        state['duty'] = VersionedDuty(record, row.version)
+        _apply_duty(state, row, now_s)
         return []
     if not row.key.startswith(PRIMARY_PREFIX):
         return []
     service = row.key.removeprefix(PRIMARY_PREFIX)
     primary = codec.parse(PrimaryRecord, _load(row))
     state['primaries'][service] = VersionedPrimary(primary, row.version)
+    if primary.phase is PrimaryPhase.STABLE:
+        state['changing_since_s'].pop(service, None)
+    else:
+        state['changing_since_s'].setdefault(service, now_s)
     line = LogDecision(
         event=f'primary {primary.phase.name.lower()}',
         database=service,
@@ -247,6 +250,17 @@
     return [line]
 
 
+def _apply_duty(state: ControlState, row: TableRow, now_s: float) -> None:
+    record = codec.parse(DutyRecord, _load(row))
+    if record.token != state['duty'].record.token:
+        # A new holder has its own time to answer.
+        for report in state['reports'].values():
+            report['heard_s'] = now_s
+            report['next_s'] = now_s
+        state['holder_heard_s'] = 0
+    state['duty'] = VersionedDuty(record, row.version)
+
+
 def _load(row: TableRow) -> Any:
     return json.loads(row.content)
 
--- a/poplarspoke/relay/routing.py
+++ b/poplarspoke/relay/routing.py
@@ -19,7 +19,7 @@
 # A new connection occupies a slot of the endpoint for 12 ms.
 HANDSHAKE_COST_S = 0.014
 # Keeps reads off the primary, which alone can run writes.
-PRIMARY_COST = 2.0
+PRIMARY_COST = 3.0
 # Replicas apply commits 20 to 60 ms after the primary, at most 360 ms.
 APPLY_DELAY_S = 0.25
 # Stops using a primary that leaves this long before the platform's bound.
--- a/poplarspoke/schema/control.capnp
+++ b/poplarspoke/schema/control.capnp
@@ -40,6 +40,7 @@
   change @3 :UInt64;  # Number of the change, increases by one.
   candidate @4 :Text;  # Endpoint that was ordered to take over, if any.
   reason @5 :Text;
+  term @6 :UInt64;  # Term that the endpoint leads; 0 for the first primary.
 }
 
 struct TableRow {
@@ -137,18 +138,20 @@
 }
 
 struct ReportPrimary {
-  # Tells the holder of the duty that a primary should be replaced.
+  # Tells a host that a primary should be replaced.
   sender @0 :Text;
   service @1 :Text;
   endpoint @2 :Text;
   reason @3 :Text;
+  passed @4 :Bool;  # By a host that is not the holder; not passed on again.
 }
 
 struct ReportHeard {
-  # Answer to ReportPrimary from the holder of the duty.
+  # Answer to ReportPrimary, from the holder of the duty or another host.
   sender @0 :Text;
   service @1 :Text;
   token @2 :UInt64;
+  holderAgoS @3 :Float64;  # Since the sender last heard the holder.
 }
 
 struct AskRelease {
--- /dev/null
+++ b/tests/control_world.py
@@ -0,0 +1,259 @@
+"""Control tasks of several hosts over one table, without sockets, for tests."""
+
+import json
+import random
+from typing import Any, TypeVar
+
+from poplarspoke import codec
+from poplarspoke.control import decisions
+from poplarspoke.control.state import (
+    ENDPOINTS,
+    RECORDS,
+    RULES,
+    ControlState,
+    Decoders,
+    create_state,
+)
+from poplarspoke.generated.common import Position, Tick
+from poplarspoke.generated.control import (
+    AskReach,
+    EndpointState,
+    OrderPromotion,
+    PromotionAnswered,
+    QueryEndpoint,
+    Reach,
+    RecordsWritten,
+    TableRow,
+    TableRows,
+    WriteRecords,
+)
+from poplarspoke.generated.rules import (
+    EndpointEntry,
+    EndpointRole,
+    HostSettings,
+    Ruleset,
+)
+from poplarspoke.tasks import ToHost, ToStore, ToTask
+
+Wanted = TypeVar('Wanted')
+SERVICE = 'group'
+TICK_S = 0.1
+
+
+def find(outgoing: list[Any], wanted: type[Wanted]) -> list[Wanted]:
+    """Returns the messages of one type, also those for other tasks."""
+    inner = [getattr(entry, 'message', entry) for entry in outgoing]
+    return [entry for entry in inner if isinstance(entry, wanted)]
+
+
+class ControlWorld:
+    """Hosts, one table of records and the endpoints of one service.
+
+    Attributes:
+        deaf: Hosts that the store does not answer.
+        silent: Hosts that no datagram reaches.
+        sent: Everything that each host has returned.
+        orders: Promotions in their order, with holder and token.
+        endpoints: State of each endpoint.
+    """
+
+    def __init__(self, hosts: int = 3) -> None:
+        """Starts the hosts and lets them name the first primary."""
+        self.now_s = float(100)
+        self.version = 1
+        self.rows: dict[str, TableRow] = {}
+        self.deaf: set[str] = set()
+        self.silent: set[str] = set()
+        self.orders: list[OrderPromotion] = []
+        self.hosts: dict[str, ControlState] = {}
+        self.sent: dict[str, list[Any]] = {}
+        self.members: dict[str, EndpointState] = {}
+        self.entries: dict[str, EndpointEntry] = {}
+        self.dead: set[str] = set()
+        for number, name in enumerate(('m1', 'm2', 'm3')):
+            role = EndpointRole(int(not number))
+            self.members[name] = EndpointState(
+                SERVICE, name, True, role, 1, Position(1, 10 - number)
+            )
+            self.entries[name] = EndpointEntry(
+                endpoint=name,
+                service=SERVICE,
+                address=f'127.0.0.1:{number + 1}',
+                zone='z1',
+                slots=2,
+                role=role,
+            )
+        for number in range(hosts):
+            self.start(f'h{number}')
+        self.run(3)
+
+    def start(self, name: str, incarnation: int = 1) -> None:
+        """Starts a host, or starts it again."""
+        settings = HostSettings(
+            name=name,
+            zone='z1',
+            ip='127.0.0.1',
+            peer_port=1,
+            control_address=f'{name}:1',
+            grace_s=6,
+        )
+        self.hosts[name] = create_state(
+            settings,
+            Decoders(_decode_rules, self._decode_endpoint),
+            rng=random.Random(name),
+            incarnation=incarnation,
+        )
+        self.sent[name] = []
+
+    def run(self, seconds: float) -> None:
+        """Lets time pass; each host reads the table and ticks."""
+        until_s = self.now_s + seconds
+        while self.now_s < until_s:
+            self.now_s += TICK_S
+            for name in sorted(self.hosts):
+                self.feed(name)
+                self.post(name, Tick())
+
+    def feed(self, name: str) -> None:
+        """Brings a host everything that the store has."""
+        if name in self.deaf:
+            return
+        contents = {
+            RULES: [TableRow('config', 1, content='1')],
+            ENDPOINTS: [
+                TableRow(entry, self.version, content='{}')
+                for entry in self.entries
+            ],
+            RECORDS: list(self.rows.values()),
+        }
+        for table, rows in contents.items():
+            answer = TableRows(
+                table,
+                tuple(rows),
+                self.version,
+                self.now_s - TICK_S / 2,
+                complete=True,
+            )
+            self.post(name, answer)
+
+    def post(self, name: str, message: Any) -> None:
+        """Passes a message to a host and carries out what follows."""
+        state = self.hosts.get(name)
+        if state is None:
+            return
+        outgoing = decisions.decide(message, state, self.now_s)
+        self.sent[name].extend(outgoing)
+        for entry in outgoing:
+            self.perform(name, entry)
+
+    def lease(self, name: str) -> str:
+        """Returns the primary that a host holds a lease on, empty if none."""
+        held = ''
+        for entry in self.sent[name]:
+            if not isinstance(entry, ToTask) or entry.task != 'relay':
+                continue
+            leases = getattr(entry.message, 'leases', None)
+            if leases is not None:
+                usable = [
+                    lease.endpoint
+                    for lease in leases
+                    if lease.until_s > self.now_s
+                ]
+                held = ''.join(usable)
+            elif type(entry.message).__name__ == 'LeaseRevoked':
+                held = ''
+        return held
+
+    def record(self, key: str) -> Any:
+        """Returns the content of a row of the table."""
+        return json.loads(self.rows[key].content)
+
+    def set_entry(self, name: str, **changed: Any) -> None:
+        """Changes what an endpoint says of itself."""
+        self.version += 1
+        self.entries[name] = self.entries[name]._replace(**changed)
+
+    def perform(self, name: str, outgoing: Any) -> None:
+        """Carries out one message of a host."""
+        if isinstance(outgoing, ToHost):
+            if outgoing.host not in self.silent and name not in self.silent:
+                self._send(name, outgoing)
+            return
+        if isinstance(outgoing, ToTask):
+            if isinstance(outgoing.message, QueryEndpoint):
+                self._query(name, outgoing.message)
+            return
+        if not isinstance(outgoing, ToStore) or name in self.deaf:
+            return
+        if isinstance(outgoing.message, OrderPromotion):
+            self._promote(name, outgoing.message)
+            return
+        self._write(name, outgoing.message)
+
+    def _send(self, name: str, outgoing: ToHost) -> None:
+        message = outgoing.message
+        if not isinstance(message, AskReach):
+            self.post(outgoing.host, message)
+            return
+        # The relay of the host answers; all hosts have traffic.
+        silent = message.endpoint in self.dead
+        reach = Reach(outgoing.host, message.endpoint, silent, 0.1)
+        self.post(name, reach)
+
+    def _query(self, name: str, query: QueryEndpoint) -> None:
+        known = self.members[query.endpoint]
+        if query.endpoint in self.dead:
+            known = EndpointState(query.service, query.endpoint)
+        elif query.demote_term > known.term:
+            known = known._replace(role=EndpointRole.REPLICA)
+            self.members[query.endpoint] = known
+        self.post(name, known)
+
+    def _promote(self, name: str, order: OrderPromotion) -> None:
+        self.orders.append(order)
+        term = max(known.term for known in self.members.values()) + 1
+        known = self.members[order.endpoint]
+        self.members[order.endpoint] = known._replace(
+            role=EndpointRole.PRIMARY, term=term
+        )
+        self.set_entry(order.endpoint, role=EndpointRole.PRIMARY)
+        self.post(name, PromotionAnswered(SERVICE, order.endpoint, 200))
+
+    def _write(self, name: str, change: WriteRecords) -> None:
+        absent = TableRow()
+        current = [
+            self.rows.get(write.key, absent._replace(key=write.key))
+            for write in change.writes
+        ]
+        expected = [write.expected for write in change.writes]
+        if [row.version for row in current] != expected:
+            lost = RecordsWritten(
+                change.correlation, known=True, rows=tuple(current)
+            )
+            self.post(name, lost)
+            return
+        self.version += 1
+        for write in change.writes:
+            self.rows[write.key] = TableRow(
+                write.key, self.version, content=write.content
+            )
+        written = RecordsWritten(
+            change.correlation,
+            accepted=True,
+            known=True,
+            version=self.version,
+            rows=tuple(self.rows[write.key] for write in change.writes),
+        )
+        self.post(name, written)
+
+    def _decode_endpoint(self, key: str, content: str) -> EndpointEntry | None:
+        return self.entries.get(key)
+
+
+def write_content(record: Any) -> str:
+    """Returns the content of a row."""
+    return json.dumps(codec.to_object(record))
+
+
+def _decode_rules(content: str) -> Ruleset | None:
+    return Ruleset(version=int(content))
--- /dev/null
+++ b/tests/relay_world.py
@@ -0,0 +1,199 @@
+"""A relay without sockets, for tests: messages in, messages out."""
+
+import random
+from typing import Any, TypeVar
+
+from poplarspoke import buckets
+from poplarspoke.generated.common import Position, Tick
+from poplarspoke.generated.relay import (
+    AnswerCode,
+    EndpointAnswered,
+    EndpointReady,
+    EndpointsKnown,
+    HostsKnown,
+    LeasesRenewed,
+    OpenConnection,
+    PrimaryLease,
+    ReadItem,
+    SendAnswer,
+    SessionOpened,
+    SessionPhase,
+    StartSession,
+    WriteItem,
+)
+from poplarspoke.generated.rules import (
+    EndpointEntry,
+    EndpointRole,
+    HostSettings,
+    RouteKind,
+    RouteRule,
+    Ruleset,
+    ServiceRule,
+    WorkspaceRule,
+)
+from poplarspoke.relay import decisions
+from poplarspoke.relay.messages import Forward
+from poplarspoke.relay.state import create_state
+
+Wanted = TypeVar('Wanted')
+SERVICE = 'group'
+KEY = 'key-of-blue'
+PRIMARY = 'first'
+REPLICAS = ('second', 'third')
+
+
+def find(outgoing: list[Any], wanted: type[Wanted]) -> list[Wanted]:
+    """Returns the messages of one type."""
+    return [entry for entry in outgoing if isinstance(entry, wanted)]
+
+
+def create_rules(version: int = 1, *, rate: float = 1000) -> Ruleset:
+    """Returns a configuration with one route of each kind."""
+    routes = tuple(
+        RouteRule(
+            database=kind.name.lower(),
+            service=SERVICE,
+            kind=kind,
+            statement_timeout_s=0.8,
+            target_latency_s=0.2,
+            staleness_s=2.5,
+        )
+        for kind in RouteKind
+    )
+    return Ruleset(
+        version=version,
+        routes=routes,
+        services=(ServiceRule(SERVICE, 16),),
+        workspaces=(WorkspaceRule('blue', (KEY,), rate, rate),),
+        transaction_idle_s=3,
+    )
+
+
+class RelayWorld:
+    """One relay with a clock that the test moves.
+
+    Attributes:
+        sent: Everything that the relay has returned.
+    """
+
+    def __init__(self, *, rate: float = 1000, hosts: int = 1) -> None:
+        """Gives the relay rules, endpoints and a lease."""
+        self.now_s = float(100)
+        self.sent: list[Any] = []
+        self._requests = 0
+        settings = HostSettings(name='a', zone='z1', grace_s=6, drain_s=7)
+        self.state = create_state(settings, rng=random.Random(7), incarnation=1)
+        peers = tuple(f'peer-{number}' for number in range(hosts - 1))
+        self.post(HostsKnown(hosts, peers))
+        self.post(create_rules(rate=rate))
+        self.set_endpoints()
+        self.lease(PRIMARY)
+        self.now_s += 2
+
+    def post(self, message: Any) -> list[Any]:
+        """Passes a message in; returns what the relay answers."""
+        outgoing = decisions.decide(message, self.state, self.now_s)
+        self.sent.extend(outgoing)
+        return outgoing
+
+    def tick(self, seconds: float) -> list[Any]:
+        """Lets time pass in steps of a tick."""
+        outgoing: list[Any] = []
+        until_s = self.now_s + seconds
+        while self.now_s < until_s:
+            self.now_s += 0.025
+            outgoing.extend(self.post(Tick()))
+        return outgoing
+
+    def set_endpoints(self, *, draining: tuple[str, ...] = ()) -> None:
+        """Tells the relay about one primary and two replicas."""
+        entries: list[EndpointEntry] = []
+        for number, name in enumerate((PRIMARY, *REPLICAS)):
+            entries.append(
+                EndpointEntry(
+                    endpoint=name,
+                    service=SERVICE,
+                    address=f'127.0.0.1:{number + 1}',
+                    zone=f'z{number + 1}',
+                    slots=2,
+                    draining=name in draining,
+                    role=EndpointRole(int(name == PRIMARY)),
+                ),
+            )
+        self.post(EndpointsKnown(tuple(entries)))
+
+    def empty_bucket(self) -> None:
+        """Takes all tokens of the workspace."""
+        bucket = self.state['buckets']['blue']
+        buckets.settle(bucket, self.now_s)
+        bucket['level'] = 0
+
+    def lease(self, endpoint: str, *, seconds: float = 8) -> list[Any]:
+        """Gives the relay a lease on a primary."""
+        lease = PrimaryLease(SERVICE, endpoint, self.now_s + seconds)
+        return self.post(LeasesRenewed((lease,)))
+
+    def start(self, session: int, database: str, key: str = KEY) -> list[Any]:
+        """Starts a session of a caller."""
+        self.post(SessionOpened(session))
+        return self.post(StartSession(session, database, key))
+
+    def read(self, session: int) -> list[Any]:
+        """Sends a read."""
+        return self.post(ReadItem(session, self._name_request(), 'READ 1'))
+
+    def write(self, session: int) -> list[Any]:
+        """Sends a write."""
+        return self.post(WriteItem(session, self._name_request(), 'WRITE 1 x'))
+
+    def connect(self, outgoing: list[Any]) -> list[Any]:
+        """Lets all connections that are being opened become ready."""
+        replies: list[Any] = []
+        for opening in find(outgoing, OpenConnection):
+            replies.extend(self.post(EndpointReady(opening.connection)))
+        return replies
+
+    def forward(self, outgoing: list[Any]) -> Forward:
+        """Returns the statement that goes to an endpoint."""
+        forwards = find([*outgoing, *self.connect(outgoing)], Forward)
+        assert len(forwards) == 1, outgoing
+        return forwards[0]
+
+    def locate(self, forward: Forward) -> str:
+        """Returns the endpoint that a statement goes to."""
+        return self.state['connections'][forward.connection]['endpoint']
+
+    def reply(
+        self,
+        forward: Forward,
+        code: AnswerCode = AnswerCode.DONE,
+        *,
+        position: Position | None = None,
+        phase: SessionPhase = SessionPhase.IDLE,
+        rows: tuple[str, ...] = (),
+    ) -> list[Any]:
+        """Answers a statement as its endpoint."""
+        answer = EndpointAnswered(
+            forward.connection,
+            code,
+            rows,
+            'signature',
+            phase,
+            position or Position(),
+        )
+        return self.post(answer)
+
+    def observe(self, position: Position) -> None:
+        """Lets a read at the primary observe its position."""
+        self.start(999, 'primary')
+        self.reply(self.forward(self.read(999)), position=position)
+
+    def answer(self, outgoing: list[Any]) -> SendAnswer:
+        """Returns the answer to the caller."""
+        answers = find(outgoing, SendAnswer)
+        assert len(answers) == 1, outgoing
+        return answers[0]
+
+    def _name_request(self) -> str:
+        self._requests += 1
+        return f'r{self._requests}'
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,435 @@
+"""Statements on their way through the relay."""
+
+import pytest
+from tests.relay_world import PRIMARY, REPLICAS, SERVICE, RelayWorld, find
+
+from poplarspoke.generated.common import Position
+from poplarspoke.generated.rates import BorrowTokens, LendTokens
+from poplarspoke.generated.relay import (
+    AnswerCode,
+    BeginTransaction,
+    CloseConnection,
+    CommitTransaction,
+    EndpointLost,
+    EndSession,
+    ExecutePrepared,
+    LeaseRevoked,
+    OpenConnection,
+    PrepareStatement,
+    ReadItem,
+    RefuseSession,
+    ReleaseIdle,
+    RollBackTransaction,
+    SendAnswer,
+    SessionPhase,
+    SetValue,
+    ShutDown,
+    WriteItem,
+)
+from poplarspoke.relay import quotas
+from poplarspoke.relay.messages import Forward
+from poplarspoke.tasks import ToHost
+
+
+@pytest.fixture
+def world() -> RelayWorld:
+    """Returns a relay with a primary, two replicas and a lease."""
+    return RelayWorld()
+
+
+def test_primary_route_is_served_by_the_primary_only(
+    world: RelayWorld,
+) -> None:
+    """A read of a primary route must not run on a replica's log."""
+    world.observe(Position(3, 7))
+    world.start(1, 'primary')
+    forward = world.forward(world.read(1))
+    assert world.locate(forward) == PRIMARY
+    answer = world.answer(world.reply(forward, rows=('x',)))
+    assert (answer.code, answer.rows) == (AnswerCode.DONE, ('x',))
+
+
+def test_bounded_read_needs_an_observation(world: RelayWorld) -> None:
+    """Without one a replica may lack what was acknowledged long ago."""
+    world.start(1, 'bounded')
+    assert world.locate(world.forward(world.read(1))) == PRIMARY
+
+
+def test_bounded_read_goes_to_a_replica_with_a_position(
+    world: RelayWorld,
+) -> None:
+    """Reads that tolerate a staleness must leave the primary to writes."""
+    world.observe(Position(3, 7))
+    world.start(1, 'bounded')
+    forward = world.forward(world.read(1))
+    assert world.locate(forward) in REPLICAS
+    assert forward.after == Position(3, 7)
+
+
+def test_old_observation_is_not_used(world: RelayWorld) -> None:
+    """A commit after the observation may be older than the staleness."""
+    world.observe(Position(3, 7))
+    world.now_s += 2.6
+    world.start(1, 'bounded')
+    assert world.locate(world.forward(world.read(1))) == PRIMARY
+
+
+def test_observation_without_a_lease_is_not_kept(world: RelayWorld) -> None:
+    """A superseded primary's position says nothing of the new one's."""
+    world.start(9, 'primary')
+    forward = world.forward(world.read(9))
+    world.post(LeaseRevoked(SERVICE))
+    world.reply(forward, position=Position(3, 7))
+    assert not world.state['observations'].get(SERVICE)
+
+
+def test_own_write_is_read(world: RelayWorld) -> None:
+    """A session must read its write, also from a replica later."""
+    world.observe(Position(3, 7))
+    world.start(1, 'read_own')
+    world.reply(world.forward(world.write(1)), position=Position(3, 9))
+    assert world.locate(world.forward(world.read(1))) == PRIMARY
+    world.start(2, 'read_own')
+    world.now_s += 0.5
+    world.state['sessions'][2]['position'] = Position(3, 9)
+    forward = world.forward(world.read(2))
+    assert world.locate(forward) in REPLICAS
+    assert forward.after == Position(3, 9)
+
+
+def test_lagging_replica_is_replaced(world: RelayWorld) -> None:
+    """A replica that lags must cost a round trip, not the read."""
+    world.observe(Position(3, 7))
+    world.start(1, 'bounded')
+    first = world.forward(world.read(1))
+    second = world.forward(world.reply(first, AnswerCode.LAGGING))
+    assert world.locate(second) != world.locate(first)
+
+
+def test_write_without_a_lease_is_not_sent(world: RelayWorld) -> None:
+    """A host that lost its lease must not reach the old primary."""
+    world.post(LeaseRevoked(SERVICE))
+    world.start(1, 'primary')
+    assert not find(world.write(1), Forward)
+    answers = find(world.tick(1), SendAnswer)
+    assert [answer.code for answer in answers] == [AnswerCode.BUSY]
+    assert 'retry-after-ms=' in answers[0].detail
+
+
+def test_expired_lease_counts_as_none(world: RelayWorld) -> None:
+    """A frozen host must not use a lease that ran out meanwhile."""
+    world.start(1, 'primary')
+    world.now_s += 20
+    outgoing = world.write(1)
+    assert not find(outgoing, OpenConnection)
+
+
+def test_write_answered_after_the_lease_is_unknown(world: RelayWorld) -> None:
+    """A commit at a superseded primary must not be acknowledged."""
+    world.start(1, 'primary')
+    forward = world.forward(world.write(1))
+    world.post(LeaseRevoked(SERVICE))
+    answer = world.answer(world.reply(forward, position=Position(3, 8)))
+    assert answer.code is AnswerCode.UNKNOWN_OUTCOME
+
+
+def test_write_on_a_lost_connection_is_unknown(world: RelayWorld) -> None:
+    """A write that was sent may have run; it must not be sent again."""
+    world.start(1, 'primary')
+    forward = world.forward(world.write(1))
+    lost = EndpointLost(forward.connection, connected=True)
+    outgoing = world.post(lost)
+    assert world.answer(outgoing).code is AnswerCode.UNKNOWN_OUTCOME
+    assert not find(outgoing, Forward)
+
+
+def test_unknown_write_makes_reads_go_to_the_primary(
+    world: RelayWorld,
+) -> None:
+    """The position of a write without an answer is not known."""
+    world.observe(Position(3, 7))
+    world.start(1, 'read_own')
+    forward = world.forward(world.write(1))
+    world.post(EndpointLost(forward.connection, connected=True))
+    world.now_s += 1
+    assert world.locate(world.forward(world.read(1))) == PRIMARY
+
+
+def test_read_on_a_lost_connection_is_repeated(world: RelayWorld) -> None:
+    """A read has no effect, so the caller need not see the loss."""
+    world.start(1, 'primary')
+    forward = world.forward(world.read(1))
+    outgoing = world.post(EndpointLost(forward.connection, connected=True))
+    assert world.forward(outgoing).statement == forward.statement
+
+
+def test_read_without_an_answer_times_out(world: RelayWorld) -> None:
+    """A silent primary must not hold a caller beyond the timeout."""
+    world.start(1, 'primary')
+    world.forward(world.read(1))
+    answers = find(world.tick(1), SendAnswer)
+    assert [answer.code for answer in answers] == [AnswerCode.TIMEOUT]
+
+
+def test_transaction_keeps_its_connection(world: RelayWorld) -> None:
+    """Statements of a transaction must not mix with others."""
+    world.start(1, 'primary')
+    begin = world.forward(world.post(BeginTransaction(1, 'b')))
+    world.reply(begin, phase=SessionPhase.OPEN)
+    world.start(2, 'primary')
+    other = world.forward(world.write(2))
+    assert other.connection != begin.connection
+    inside = world.forward(world.write(1))
+    assert inside.connection == begin.connection
+
+
+def test_transaction_is_rolled_back_with_its_connection(
+    world: RelayWorld,
+) -> None:
+    """A caller must be told that its transaction is gone."""
+    world.start(1, 'primary')
+    begin = world.forward(world.post(BeginTransaction(1, 'b')))
+    world.reply(begin, phase=SessionPhase.OPEN)
+    world.post(EndpointLost(begin.connection, connected=True))
+    answer = world.answer(world.write(1))
+    assert answer.code is AnswerCode.ABORTED
+    assert answer.phase is SessionPhase.FAILED
+    ended = world.answer(world.post(RollBackTransaction(1, 'e')))
+    assert (ended.code, ended.phase) == (AnswerCode.DONE, SessionPhase.IDLE)
+
+
+def test_commit_after_a_lost_lease_is_not_sent(world: RelayWorld) -> None:
+    """A commit at a superseded primary would be lost or doubled."""
+    world.start(1, 'primary')
+    begin = world.forward(world.post(BeginTransaction(1, 'b')))
+    world.reply(begin, phase=SessionPhase.OPEN)
+    world.reply(world.forward(world.write(1)), phase=SessionPhase.OPEN)
+    world.post(LeaseRevoked(SERVICE))
+    outgoing = world.post(CommitTransaction(1, 'c'))
+    assert not find(outgoing, Forward)
+    assert world.answer(outgoing).code is AnswerCode.ABORTED
+    assert find(outgoing, CloseConnection)
+
+
+def test_commit_without_an_answer_is_unknown(world: RelayWorld) -> None:
+    """The transaction may have been kept."""
+    world.start(1, 'primary')
+    begin = world.forward(world.post(BeginTransaction(1, 'b')))
+    world.reply(begin, phase=SessionPhase.OPEN)
+    world.reply(world.forward(world.write(1)), phase=SessionPhase.OPEN)
+    commit = world.forward(world.post(CommitTransaction(1, 'c')))
+    outgoing = world.post(EndpointLost(commit.connection, connected=True))
+    assert world.answer(outgoing).code is AnswerCode.UNKNOWN_OUTCOME
+
+
+def test_idle_transaction_ends(world: RelayWorld) -> None:
+    """A caller that rests must not hold a connection for ever."""
+    world.start(1, 'primary')
+    begin = world.forward(world.post(BeginTransaction(1, 'b')))
+    world.reply(begin, phase=SessionPhase.OPEN)
+    outgoing = world.tick(3.5)
+    assert find(outgoing, CloseConnection) == [
+        CloseConnection(begin.connection)
+    ]
+    assert not find(outgoing, SendAnswer)
+
+
+def test_connection_belongs_to_one_workspace_and_values(
+    world: RelayWorld,
+) -> None:
+    """Values of one session must not be seen by another."""
+    world.start(1, 'primary')
+    world.post(SetValue(1, 's', 'app', 'till'))
+    setup = world.forward(world.read(1))
+    assert isinstance(setup.statement, SetValue)
+    assert setup.statement.request_id == '-'
+    read = world.forward(world.reply(setup))
+    assert isinstance(read.statement, ReadItem)
+    world.reply(read)
+    world.start(2, 'primary')
+    other = world.forward(world.read(2))
+    assert other.connection != read.connection
+    again = world.forward(world.read(1))
+    assert again.connection == read.connection
+    assert isinstance(again.statement, ReadItem)
+
+
+def test_prepared_names_do_not_collide(world: RelayWorld) -> None:
+    """Two sessions use one name for different shapes."""
+    for session, shape in ((1, 'one'), (2, 'two')):
+        world.start(session, 'primary')
+        world.post(
+            PrepareStatement(session, 'p', 's', writes=False, shape=shape)
+        )
+        run = world.post(ExecutePrepared(session, f'e{session}', 's', '1'))
+        prepare = world.forward(run)
+        assert isinstance(prepare.statement, PrepareStatement)
+        assert prepare.statement.shape == shape
+        execute = world.forward(world.reply(prepare))
+        assert execute.alias == prepare.alias
+        world.reply(execute)
+    names = world.state['connections'][execute.connection]['aliases']
+    assert len(names) == 2
+
+
+def test_unknown_prepared_name_is_refused(world: RelayWorld) -> None:
+    """A name of another session must not run."""
+    world.start(1, 'primary')
+    outgoing = world.post(ExecutePrepared(1, 'e', 's', '1'))
+    assert world.answer(outgoing).code is AnswerCode.NO_STATEMENT
+
+
+def test_revoked_key_stops_an_open_session(world: RelayWorld) -> None:
+    """A connected caller must not go on with a withdrawn key."""
+    world.start(1, 'primary')
+    rules = world.state['rules']
+    world.post(rules._replace(version=2, workspaces=()))
+    answer = world.answer(world.read(1))
+    assert answer.code is AnswerCode.KEY_REFUSED
+
+
+def test_older_rules_are_ignored(world: RelayWorld) -> None:
+    """Rules in force must never go back."""
+    rules = world.state['rules']
+    world.post(rules._replace(version=0, workspaces=()))
+    assert world.state['rules'] == rules
+
+
+@pytest.mark.parametrize(
+    ('database', 'key', 'code'),
+    [
+        ('none', 'key-of-blue', AnswerCode.UNKNOWN_DATABASE),
+        ('primary', 'wrong', AnswerCode.KEY_REFUSED),
+    ],
+)
+def test_session_is_refused(
+    world: RelayWorld, database: str, key: str, code: AnswerCode
+) -> None:
+    """A session without a route or key must not start."""
+    refusals = find(world.start(1, database, key), RefuseSession)
+    assert [refusal.code for refusal in refusals] == [code]
+
+
+def test_full_endpoint_is_asked_again(world: RelayWorld) -> None:
+    """Connections of all hosts count; the others must give some up."""
+    world.state['peers'] = ('b',)
+    world.start(1, 'primary')
+    opening = find(world.read(1), OpenConnection)[0]
+    lost = EndpointLost(opening.connection, AnswerCode.TOO_MANY)
+    outgoing = world.post(lost)
+    assert find(outgoing, ToHost) == [ToHost('b', ReleaseIdle('a', PRIMARY))]
+    assert find(world.tick(0.1), OpenConnection)
+
+
+def test_unused_connection_is_given_up_for_a_peer(world: RelayWorld) -> None:
+    """A peer without room needs what is unused here."""
+    world.start(1, 'primary')
+    forward = world.forward(world.read(1))
+    assert not world.post(ReleaseIdle('b', PRIMARY))
+    world.reply(forward)
+    outgoing = world.post(ReleaseIdle('b', PRIMARY))
+    assert outgoing == [CloseConnection(forward.connection)]
+
+
+def test_leaving_endpoint_gets_no_reads(world: RelayWorld) -> None:
+    """A draining replica must get no new work."""
+    world.observe(Position(3, 7))
+    world.set_endpoints(draining=REPLICAS)
+    world.start(1, 'bounded')
+    assert world.locate(world.forward(world.read(1))) == PRIMARY
+
+
+def test_leaving_primary_is_used_until_its_bound(world: RelayWorld) -> None:
+    """Until another leads, refusing its work would only lose it."""
+    world.set_endpoints(draining=(PRIMARY,))
+    world.start(1, 'primary')
+    world.reply(world.forward(world.write(1)))
+    world.now_s += 5.6
+    world.lease(PRIMARY)
+    assert not find(world.write(1), Forward)
+
+
+def test_rate_is_shared_between_hosts() -> None:
+    """All hosts together must stay within the rate of a workspace."""
+    world = RelayWorld(rate=8, hosts=4)
+    world.tick(10)
+    admitted = 0
+    for number in range(40):
+        world.start(number, 'primary')
+        admitted += quotas.admit(world.state, 'blue', world.now_s)
+    assert admitted == 2
+
+
+def test_operation_waits_for_a_borrowed_token() -> None:
+    """A host that gets more than its share must not refuse wrongly."""
+    world = RelayWorld(rate=8, hosts=2)
+    world.start(1, 'primary')
+    world.empty_bucket()
+    asked = find(world.read(1), ToHost)
+    request = asked[0].message
+    assert isinstance(request, BorrowTokens)
+    grant = LendTokens(
+        sender='peer-0',
+        borrow_id=request.borrow_id,
+        workspace='blue',
+        tokens=1,
+        incarnation=1,
+    )
+    assert isinstance(world.forward(world.post(grant)).statement, ReadItem)
+
+
+def test_over_the_rate_is_refused_at_once() -> None:
+    """A caller over its rate must learn when to return, not wait."""
+    world = RelayWorld(rate=8, hosts=2)
+    world.start(1, 'primary')
+    world.empty_bucket()
+    world.read(1)
+    answers = find(world.tick(0.1), SendAnswer)
+    assert [answer.code for answer in answers] == [AnswerCode.BUSY]
+
+
+def test_lent_tokens_are_taken_out_first() -> None:
+    """Lender and borrower must not both spend a token."""
+    world = RelayWorld(rate=8, hosts=2)
+    world.empty_bucket()
+    world.state['buckets']['blue']['level'] = 3
+    before = world.state['buckets']['blue']['level']
+    reply = world.post(BorrowTokens('b', 1, 'blue', 100, 1))[0].message
+    after = world.state['buckets']['blue']['level']
+    assert reply.tokens > 0
+    assert before - after == pytest.approx(reply.tokens)
+
+
+def test_late_grant_is_dropped() -> None:
+    """Its room has been given up, so it would exceed the burst."""
+    world = RelayWorld(rate=8, hosts=2)
+    world.start(1, 'primary')
+    world.empty_bucket()
+    asked = find(world.read(1), ToHost)[0].message
+    world.tick(2)
+    level = world.state['buckets']['blue']['level']
+    world.post(LendTokens('peer-0', asked.borrow_id, 'blue', 3, 1))
+    assert world.state['buckets']['blue']['level'] == pytest.approx(level)
+
+
+def test_shutdown_closes_idle_sessions_only(world: RelayWorld) -> None:
+    """A graceful shutdown must cut no statement."""
+    world.start(1, 'primary')
+    world.start(2, 'primary')
+    world.post(ShutDown(6))
+    world.now_s += 2.6
+    forward = world.forward(world.write(2))
+    outgoing = world.tick(0.4)
+    assert EndSession(1) in outgoing
+    assert EndSession(2) not in outgoing
+    answer = world.answer(world.reply(forward))
+    assert answer.code is AnswerCode.DONE
+
+
+def test_pipelined_statements_run_in_order(world: RelayWorld) -> None:
+    """The second statement must wait for the answer to the first."""
+    world.start(1, 'primary')
+    first = world.forward(world.post(WriteItem(1, 'r1', 'WRITE 1 a')))
+    assert not world.post(WriteItem(1, 'r2', 'WRITE 1 b'))
+    outgoing = world.reply(first)
+    assert find(outgoing, Forward)[0].statement.request_id == 'r2'
