Detect silent primaries earlier and refuse what waits in vain

Change: silence after 0.4 s, a judgement as soon as all hosts have answered, a refusal at once unless a promotion has been ordered, and a change is ended when the old primary answers before its release.

--- a/poplarspoke/control/duty.py
+++ b/poplarspoke/control/duty.py
@@ -47,7 +47,7 @@
 # A change that makes no progress is reported after this time.
 STUCK_S = 2.0
 # Time for the other hosts to say whether an endpoint answers them.
-REACH_S = 0.4
+REACH_S = 0.45
 # An answer this recent speaks against a silent endpoint.
 RECENT_S = 1.0
 # After this the old holder can no longer order: an order is sent at most 1 s
@@ -294,9 +294,10 @@
     if not report['probed_s']:
         report['probed_s'] = now_s
         return _ask_all(state, report)
-    if now_s - report['probed_s'] < REACH_S:
-        return []
     own = state['settings'].name
+    missing = state['hosts'].keys() - report['reach'].keys()
+    if missing and now_s - report['probed_s'] < REACH_S:
+        return []
     against = 0
     silent = 0
     for reach in report['reach'].values():
@@ -308,12 +309,13 @@
         event='silent primary judged',
         database=service,
         endpoint=report['endpoint'],
-        outcome='replaced' if silent > against else 'kept',
+        outcome=f'{silent} of {silent + against}',
         reason=f'silent to {silent} hosts, answers {against}',
         age_s=now_s - report['since_s'],
     )
     state['reports'].pop(service)
-    if silent > against and own in report['reach']:
+    probed = report['reach'].get(own)
+    if silent > against and probed is not None and probed.silent:
         return [line, *handover.start(state, service, SILENT, now_s)]
     return [line]
 
--- a/poplarspoke/control/handover.py
+++ b/poplarspoke/control/handover.py
@@ -141,7 +141,10 @@
         return []
     _enter(change, Releasing(now_s + ASK_AGAIN_S))
     request = AskRelease(own, change['service'], change['number'])
-    return [ToHost(host, request) for host in sorted(missing)]
+    outgoing: list[Any] = [ToHost(host, request) for host in sorted(missing)]
+    if change['reason'] not in PLANNED:
+        outgoing.extend(_query(state, change, change['old'], 0))
+    return outgoing
 
 
 @advance.register
@@ -209,6 +212,8 @@
         return []
     change['states'][message.endpoint] = message
     step = change['step']
+    if isinstance(step, Releasing):
+        return _keep_old(state, change, message, now_s)
     if not isinstance(step, Confirming):
         return advance(step, state, change, now_s)
     if message.endpoint != change['candidate'] or not _leads(change, message):
@@ -218,6 +223,27 @@
     return [_write_row(state, change, PrimaryPhase.STABLE)]
 
 
+def _keep_old(
+    state: ControlState,
+    change: Change,
+    message: EndpointState,
+    now_s: float,
+) -> list[Any]:
+    """Ends a change whose old primary answers again before its release."""
+    leads = message.role is EndpointRole.PRIMARY
+    if message.endpoint != change['old'] or not leads:
+        return []
+    entry = state['endpoints'].get(change['old'])
+    if entry is None or entry.draining or change['candidate']:
+        return []
+    change['candidate'] = change['old']
+    _enter(change, Recording())
+    return [
+        _log(change, 'old primary kept', now_s),
+        _write_row(state, change, PrimaryPhase.STABLE),
+    ]
+
+
 def take_order(
     state: ControlState,
     message: PromotionAnswered,
--- a/poplarspoke/control/queries.py
+++ b/poplarspoke/control/queries.py
@@ -11,7 +11,7 @@
 from poplarspoke.generated.relay import OpenConnection
 
 # An endpoint with both slots busy answers in some 100 ms.
-TIMEOUT_S = 0.6
+TIMEOUT_S = 0.4
 MAX_LINE_BYTES = 4096
 LINE_END = b'\r\n'
 QUERY_ERRORS = (
--- a/poplarspoke/control/tables.py
+++ b/poplarspoke/control/tables.py
@@ -92,7 +92,19 @@
         if record.change < state['released'].get(service, 0):
             continue
         leases.append(PrimaryLease(service, record.endpoint, until_s))
-    return ToTask(RELAY, LeasesRenewed(tuple(leases)))
+    expected = _list_expected(state)
+    return ToTask(RELAY, LeasesRenewed(tuple(leases), expected))
+
+
+def _list_expected(state: ControlState) -> tuple[str, ...]:
+    """Returns the services whose new primary has been ordered."""
+    expected: list[str] = []
+    for service, known in state['primaries'].items():
+        if known.record.phase is PrimaryPhase.STABLE:
+            continue
+        if known.record.candidate:
+            expected.append(service)
+    return tuple(expected)
 
 
 def list_endpoints(state: ControlState, now_s: float) -> list[Any]:
--- a/poplarspoke/relay/deadlines.py
+++ b/poplarspoke/relay/deadlines.py
@@ -10,14 +10,18 @@
     pool,
     quotas,
     routing,
+    upkeep,
 )
 from poplarspoke.relay.state import NO_CONNECTION, Operation, RelayState
 
 # Part of the latency objective that a statement waits for a connection.
 QUEUE_PART = 0.8
-# A change of primary takes 0.3 s to 1.0 s on the platform; a caller that is
-# told to come back has two retries only.
-CHANGE_WAIT_S = 0.6
+# A promotion that has been ordered takes 0.3 s to 1.0 s on the platform; a
+# caller that is told to come back has two retries only.
+CHANGE_WAIT_S = 1.2
+# Without a primary a statement is refused, since another host may reach it; a
+# primary that was released and kept is back within some round trips.
+NO_PRIMARY_WAIT_S = 0.05
 # A read is sent to another endpoint after this part of its objective.
 PATIENCE_PART = 0.75
 
@@ -82,17 +86,48 @@
     if operation['connection']:
         return []
     waited_s = now_s - operation['arrived_s']
-    limit_s = operation['route'].target_latency_s * QUEUE_PART
-    service = operation['route'].service
-    if not routing.find_primary(state, service, now_s):
-        limit_s = CHANGE_WAIT_S
-    if waited_s > limit_s:
-        return outcomes.give_up(state, operation, now_s, 'no endpoint is free')
+    if waited_s > _limit_wait(state, operation, now_s):
+        reason = _explain_wait(state, operation, now_s)
+        return outcomes.give_up(state, operation, now_s, reason)
     if now_s < operation['not_before_s']:
         return []
     return operations.place(state, operation, now_s)
 
 
+def _limit_wait(
+    state: RelayState,
+    operation: Operation,
+    now_s: float,
+) -> float:
+    """Returns how long it is worth waiting for an endpoint."""
+    service = operation['route'].service
+    primary = routing.find_primary(state, service, now_s)
+    if service in state['expected']:
+        return CHANGE_WAIT_S
+    if not primary or _is_unreachable(state, primary, now_s):
+        return NO_PRIMARY_WAIT_S
+    return operation['route'].target_latency_s * QUEUE_PART
+
+
+def _explain_wait(
+    state: RelayState,
+    operation: Operation,
+    now_s: float,
+) -> str:
+    service = operation['route'].service
+    primary = routing.find_primary(state, service, now_s)
+    if not primary:
+        return 'no primary may be used'
+    if _is_unreachable(state, primary, now_s):
+        return 'the primary does not answer'
+    return 'no connection is free'
+
+
+def _is_unreachable(state: RelayState, name: str, now_s: float) -> bool:
+    endpoint = state['endpoints'][name]
+    return upkeep.is_silent(endpoint, now_s)
+
+
 def _abandon(
     state: RelayState,
     operation: Operation,
--- a/poplarspoke/relay/decisions.py
+++ b/poplarspoke/relay/decisions.py
@@ -231,6 +231,7 @@
 def _(message: LeasesRenewed, state: RelayState, now_s: float) -> list[Any]:
     before = state['leases']
     state['leases'] = {lease.service: lease for lease in message.leases}
+    state['expected'] = frozenset(message.expected)
     outgoing: list[Any] = []
     for service, lease in state['leases'].items():
         known = before.get(service)
--- a/poplarspoke/relay/state.py
+++ b/poplarspoke/relay/state.py
@@ -175,7 +175,11 @@
 
 
 class RelayState(TypedDict):
-    """State of the relay of one host."""
+    """State of the relay of one host.
+
+    Attributes:
+        expected: Services whose new primary has been ordered.
+    """
 
     settings: HostSettings
     rng: random.Random
@@ -191,7 +195,7 @@
     hosts: int
     peers: tuple[str, ...]
     leases: dict[str, PrimaryLease]
-    changing_since_s: dict[str, float]
+    expected: frozenset[str]
     endpoints: dict[str, Endpoint]
     observations: dict[str, deque[Observation]]
     sessions: dict[int, Session]
@@ -223,7 +227,7 @@
         hosts=0,
         peers=(),
         leases={},
-        changing_since_s={},
+        expected=frozenset(),
         endpoints={},
         observations={},
         sessions={},
--- a/poplarspoke/relay/upkeep.py
+++ b/poplarspoke/relay/upkeep.py
@@ -13,11 +13,12 @@
 )
 from poplarspoke.tasks import ToTask
 
-# An endpoint that leaves statements unanswered for so long is silent; the
-# longest work is 0.17 s and a slow endpoint takes five times as long.
-SILENCE_S = 0.9
+# An endpoint that leaves everything unanswered for so long is silent. The
+# longest work is 0.17 s; one that is only slow answers other statements, and
+# the holder of the duty asks it and the other hosts before it acts.
+SILENCE_S = 0.4
 # New connections that no answer came to; TCP alone would wait for seconds.
-OPEN_TIMEOUT_S = 0.6
+OPEN_TIMEOUT_S = 0.4
 # Sessions are closed spread over this time at a shutdown.
 CLOSE_SPREAD_S = 2.5
 # Part of the grace period that open transactions have to end.
@@ -54,7 +55,7 @@
         if not connection['ready'] and waited_s > OPEN_TIMEOUT_S:
             outgoing.extend(_fail_connection(state, connection, now_s))
     for name, endpoint in state['endpoints'].items():
-        if _is_silent(endpoint, now_s):
+        if is_silent(endpoint, now_s):
             silent = EndpointSilent(
                 name, endpoint['entry'].service, endpoint['silent_since_s']
             )
@@ -97,7 +98,8 @@
         endpoint['silent_since_s'] = connection['sent_s']
 
 
-def _is_silent(endpoint: Endpoint, now_s: float) -> bool:
+def is_silent(endpoint: Endpoint, now_s: float) -> bool:
+    """Returns whether an endpoint has not answered for too long."""
     since_s = endpoint['silent_since_s']
     return bool(since_s) and now_s - since_s >= SILENCE_S
 
--- a/poplarspoke/schema/relay.capnp
+++ b/poplarspoke/schema/relay.capnp
@@ -189,6 +189,7 @@
 struct LeasesRenewed {
   # Leases that the host holds; a service that is missing has none.
   leases @0 :List(PrimaryLease);
+  expected @1 :List(Text);  # Services whose new primary has been ordered.
 }
 
 struct LeaseRevoked {
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -228,6 +228,25 @@
     assert world.record(PRIMARY_KEY)['endpoint'] == 'm2'
 
 
+def test_silent_primary_that_answers_again_is_kept(
+    world: ControlWorld,
+) -> None:
+    """A cut that heals must not cost a promotion on top."""
+    world.dead.add('m1')
+    world.silent.add('h2')
+    world.deaf.add('h2')
+    for _ in range(30):
+        world.post('h0', EndpointSilent('m1', SERVICE, world.now_s))
+        world.run(0.1)
+    assert world.record(PRIMARY_KEY)['phase'] == 'changing'
+    world.dead.clear()
+    world.run(1)
+    record = world.record(PRIMARY_KEY)
+    assert (record['endpoint'], record['phase']) == ('m1', 'stable')
+    assert not world.orders
+    assert world.lease('h0') == 'm1'
+
+
 def test_absent_endpoint_is_kept_for_a_while(world: ControlWorld) -> None:
     """Entries lapse while the store is away and come back after it."""
     world.version += 1
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -14,6 +14,7 @@
     EndSession,
     ExecutePrepared,
     LeaseRevoked,
+    LeasesRenewed,
     OpenConnection,
     PrepareStatement,
     ReadItem,
@@ -116,6 +117,28 @@
     assert 'retry-after-ms=' in answers[0].detail
 
 
+def test_write_waits_for_an_ordered_promotion(world: RelayWorld) -> None:
+    """A caller has few retries; the new primary leads within a second."""
+    world.start(1, 'primary')
+    world.post(LeasesRenewed((), (SERVICE,)))
+    world.write(1)
+    assert not find(world.tick(0.5), SendAnswer)
+    outgoing = world.lease(REPLICAS[0])
+    assert world.locate(world.forward(outgoing)) == REPLICAS[0]
+
+
+def test_write_to_a_silent_primary_is_refused_at_once(
+    world: RelayWorld,
+) -> None:
+    """Another host may reach it, and the caller can go there."""
+    world.start(1, 'primary')
+    world.state['endpoints'][PRIMARY]['silent_since_s'] = world.now_s - 1
+    world.state['endpoints'][PRIMARY]['avoid_until_s'] = world.now_s + 1
+    world.write(1)
+    answers = find(world.tick(0.1), SendAnswer)
+    assert [answer.code for answer in answers] == [AnswerCode.BUSY]
+
+
 def test_expired_lease_counts_as_none(world: RelayWorld) -> None:
     """A frozen host must not use a lease that ran out meanwhile."""
     world.start(1, 'primary')
