--- a/poplarspoke/logs.py
+++ b/poplarspoke/logs.py
@@ -8,8 +8,10 @@
 
 import copy
 import functools
+import io
 import json
 import logging
+import os
 import re
 import sys
 import traceback
@@ -22,6 +24,7 @@
 
 MAX_TEXT_CHARACTERS = 512
 MAX_FRAMES = 6
+MAX_UNWRITTEN_BYTES = 65536  # Size of a pipe.
 MIN_SECRET_CHARACTERS = 8
 REPLACEMENT = '[secret]'
 # Keys are pk_<key id>_<secret>; the id may be shown, the secret may not.
@@ -112,12 +115,48 @@
     }
 
 
+class BoundedStream(io.TextIOBase):
+    """Writes lines to a descriptor and drops them while nobody reads it.
+
+    A full pipe must not stop the process that writes its log to it.
+    """
+
+    def __init__(self, descriptor: int) -> None:
+        """Takes an open descriptor and makes it non-blocking."""
+        os.set_blocking(descriptor, False)
+        self._descriptor = descriptor
+        self._rest = b''
+        self._dropped = 0
+
+    def write(self, text: str) -> int:
+        """Writes text that ends with a line, or drops it."""
+        if len(self._rest) > MAX_UNWRITTEN_BYTES:
+            self._dropped += 1
+            self._flush()
+            return len(text)
+        if self._dropped:
+            note = {'event': 'log_lines_dropped', 'count': self._dropped}
+            text = f'{json.dumps(note)}\n{text}'
+            self._dropped = 0
+        self._rest += text.encode()
+        self._flush()
+        return len(text)
+
+    def _flush(self) -> None:
+        try:
+            written = os.write(self._descriptor, self._rest)
+        except BlockingIOError:
+            # What could not be written is kept up to its bound.
+            return
+        self._rest = self._rest[written:]
+
+
 class Log:
     """Writes events to a stream, one JSON object a line."""
 
     def __init__(
         self,
-        stream: TextIO,
+        stream: TextIO | BoundedStream,
         *,
         wall_s: Callable[[], float],
         level: str = 'INFO',
@@ -195,7 +234,7 @@
 class _JsonLogger(logbook.Logger):  # type: ignore[misc]
     """Logger with one handler, independent of logbook's global stack."""
 
-    def __init__(self, stream: TextIO, level: str) -> None:
+    def __init__(self, stream: TextIO | BoundedStream, level: str) -> None:
         """Creates the handler; the message is already one JSON object."""
         super().__init__('poplarspoke', logbook.lookup_level(level))
         self._handler = logbook.StreamHandler(stream, level=self.level)
--- a/poplarspoke/platform/__main__.py
+++ b/poplarspoke/platform/__main__.py
@@ -37,7 +37,8 @@
         boot.BootError: The settings file cannot be used.
     """
     settings = boot.read_settings(path)
-    log = logs.Log(sys.stdout, wall_s=time.time)
+    stream = logs.BoundedStream(sys.stdout.fileno())
+    log = logs.Log(stream, wall_s=time.time)
     return session_host.Surroundings(
         settings=settings,
         codec=Codec(
--- a/poplarspoke/relay/answers.py
+++ b/poplarspoke/relay/answers.py
@@ -91,9 +91,9 @@
     operation['connection'] = NO_CONNECTION
     operation['steps'] = []
     if pinned:
-        return lose_in_transaction(state, session, operation, reason)
+        return lose_in_transaction(state, operation, now_s, reason)
     if operation['sent_s'] and not operation['may_repeat']:
-        return outcomes.answer_unknown(state, operation, reason)
+        return outcomes.answer_unknown(state, operation, now_s, reason)
     operation['sent_s'] = 0
     operation['tried'].add(connection['endpoint'])
     if operation['attempts'] >= MAX_ATTEMPTS:
@@ -248,7 +248,9 @@
             number = connection['connection']
             return [
                 pool.close(state, number),
-                *outcomes.answer_unknown(state, operation, 'primary changed'),
+                *outcomes.answer_unknown(
+                    state, operation, now_s, 'primary changed'
+                ),
             ]
         session['position'] = reply.position
         session['position_unknown'] = False
@@ -266,6 +268,12 @@
             reply.detail,
             reply.phase,
         ),
+        outcomes.end_operation(
+            operation,
+            reply.code,
+            now_s,
+            replica=not operations.is_leased(state, session, connection, now_s),
+        ),
     ]
     if not done:
         reason = f'endpoint answered {reply.detail}'
@@ -285,12 +293,13 @@
 
 def lose_in_transaction(
     state: RelayState,
-    session: Session,
     operation: Operation,
+    now_s: float,
     reason: str,
 ) -> list[Any]:
+    session = state['sessions'][operation['session']]
     statement = operation['statement']
     commits = outcomes.is_write_commit(statement, session)
     if commits and operation['sent_s']:
-        return outcomes.answer_unknown(state, operation, reason)
+        return outcomes.answer_unknown(state, operation, now_s, reason)
     return outcomes.fail_transaction(state, session, statement, reason)
--- a/poplarspoke/relay/deadlines.py
+++ b/poplarspoke/relay/deadlines.py
@@ -159,14 +159,18 @@
     reason = 'no answer within the timeout of the route'
     if session['connection'] == number:
         session['connection'] = NO_CONNECTION
-        lost = answers.lose_in_transaction(state, session, operation, reason)
+        lost = answers.lose_in_transaction(state, operation, now_s, reason)
         return [closing, *lost]
     if not operation['may_repeat']:
-        return [closing, *outcomes.answer_unknown(state, operation, reason)]
+        return [
+            closing,
+            *outcomes.answer_unknown(state, operation, now_s, reason),
+        ]
     state['operations'].pop(session['session'], None)
     code = AnswerCode.TIMEOUT
     return [
         closing,
+        outcomes.end_operation(operation, code, now_s),
         outcomes.log_operation(operation, 'timed out', code, reason, now_s),
         *outcomes.answer(state, session, code, reason, SessionPhase.IDLE),
     ]
--- a/poplarspoke/relay/outcomes.py
+++ b/poplarspoke/relay/outcomes.py
@@ -13,6 +13,7 @@
     EndSession,
     ExecutePrepared,
     LogDecision,
+    OperationEnded,
     RollBackTransaction,
     SendAnswer,
     SessionPhase,
@@ -71,14 +72,28 @@
     state['operations'].pop(session['session'], None)
     detail = f'{reason}; retry-after-ms={wait_ms}'
     return [
+        end_operation(operation, AnswerCode.BUSY, now_s),
         log_operation(operation, 'refused', AnswerCode.BUSY, reason, now_s),
         *answer(state, session, AnswerCode.BUSY, detail, SessionPhase.IDLE),
     ]
 
 
+def end_operation(
+    operation: Operation,
+    code: AnswerCode,
+    now_s: float,
+    *,
+    replica: bool = False,
+) -> OperationEnded:
+    """Returns what the metrics need to know of an operation."""
+    latency_s = now_s - operation['arrived_s']
+    return OperationEnded(code, operation['route'].kind, latency_s, replica)
+
+
 def answer_unknown(
     state: RelayState,
     operation: Operation,
+    now_s: float,
     reason: str,
 ) -> list[Any]:
     """Answers a write or commit that may have taken effect."""
@@ -88,7 +103,8 @@
     state['operations'].pop(session['session'], None)
     code = AnswerCode.UNKNOWN_OUTCOME
     return [
-        log_operation(operation, 'outcome unknown', code, reason, 0),
+        end_operation(operation, code, now_s),
+        log_operation(operation, 'outcome unknown', code, reason, now_s),
         *answer(state, session, code, reason, SessionPhase.IDLE),
     ]
 
--- a/poplarspoke/relay/transport.py
+++ b/poplarspoke/relay/transport.py
@@ -23,6 +23,7 @@
     EndSession,
     LogDecision,
     OpenConnection,
+    OperationEnded,
     RefuseSession,
     SendAnswer,
     SessionClosed,
@@ -30,7 +31,7 @@
     SessionPhase,
     SessionStarted,
 )
-from poplarspoke.relay import decisions, upkeep
+from poplarspoke.relay import decisions, measures, upkeep
 from poplarspoke.relay.messages import Forward
 from poplarspoke.relay.state import RelayState
 from poplarspoke.tasks import ToHost, ToTask
@@ -96,6 +97,7 @@
         self.callers: dict[int, asyncio.Transport] = {}
         self.endpoints: dict[int, asyncio.Transport | None] = {}
         self.deliver = deliver
+        self.measures = measures.Measures()
         self._now_s = now_s
         self._log = log
         self._next_session = 1
@@ -369,6 +371,11 @@
         transport.abort()
 
 
+@perform.register
+def _(outgoing: OperationEnded, relay: Relay) -> None:
+    relay.measures.count(outgoing)
+
+
 @perform.register
 def _(outgoing: LogDecision, relay: Relay) -> None:
     relay.write_log(outgoing)
--- a/poplarspoke/schema/relay.capnp
+++ b/poplarspoke/schema/relay.capnp
@@ -232,6 +232,14 @@
   endpoint @1 :Text;
 }
 
+struct OperationEnded {
+  # A statement of a caller was answered, for the metrics.
+  code @0 :AnswerCode;
+  kind @1 :Rules.RouteKind;
+  latencyS @2 :Float64;  # Since the statement was read.
+  replica @3 :Bool;  # A replica answered it.
+}
+
 struct LogDecision {
   # A decision on a request, for the log.
   requestId @0 :Text;
--- a/poplarspoke/session_host.py
+++ b/poplarspoke/session_host.py
@@ -42,6 +42,8 @@
 EXIT_MARGIN_S = 0.8
 SHUTDOWN_CHECK_S = 0.1
 VIEW_TIMEOUT_S = 0.5
+METRICS_PATH = '/metrics'
+METRICS_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
 OK = http.HTTPStatus.OK
 UNAVAILABLE = http.HTTPStatus.SERVICE_UNAVAILABLE
 MS_PER_S = 1000
@@ -206,6 +208,13 @@
             return web.Response(
                 OK if self.control.state['ready'] else UNAVAILABLE
             )
+        if request.path == METRICS_PATH:
+            self.relay.measures.observe(self.relay.state)
+            return web.Response(
+                OK,
+                self.relay.measures.render(),
+                content_type=METRICS_TYPE,
+            )
         if request.path != VIEW_PATH:
             return web.Response(http.HTTPStatus.NOT_FOUND)
         self._requests += 1
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -11,10 +11,11 @@
 from poplarspoke import codec, errors, logs, metrics, web
 from poplarspoke.cli import arguments, definitions
 from poplarspoke.generated.common import ErrorCode, Outcome
+from poplarspoke.relay import measures
 from poplarspoke.status import ExitStatus
 
 ROOT = pathlib.Path(__file__).parent.parent
-PAGES = ('interface', 'operations', 'security')
+PAGES = ('interface', 'OPERATIONS', 'security')
 TEXTS = {name: (ROOT / f'docs/{name}.md').read_text() for name in PAGES}
 CODED = re.compile('`([^`]+)`')
 COMMANDS = {entry.name for entry in definitions.DEFINITIONS}
@@ -71,8 +72,8 @@
 
 def test_operations_explain_every_code() -> None:
     """An operator looks a code up on this page."""
-    rows = list_rows('Refusals that callers see', 'operations')
-    rows += list_rows('Commands that are refused', 'operations')
+    rows = list_rows('Refusals that callers see', 'OPERATIONS')
+    rows += list_rows('Commands that are refused', 'OPERATIONS')
     assert sorted(row[0].strip('`') for row in rows) == sorted(CODES)
 
 
@@ -112,8 +113,13 @@
     }
     named = {row[0].strip('`') for row in list_rows('Metrics')}
     assert named == wanted
+    relay = {
+        f'{family.name}_total' if family.type == 'counter' else family.name
+        for family in measures.Measures().registry.collect()
+    }
     for page in PAGES:
-        assert set(re.findall('poplarspoke_[a-z_]+', TEXTS[page])) <= wanted
+        found = set(re.findall('poplarspoke_[a-z_]+', TEXTS[page]))
+        assert found <= wanted | relay
 
 
 def test_exit_statuses_and_the_page_agree() -> None:
