Let some hosts own the rate of a workspace and lend it to the others

Change: as many owners, by rendezvous, as the burst has four operations for, three at least; the others borrow for a second, and the lender keeps the room of lent tokens empty. A share that grows waits 10 s.

--- a/poplarspoke/relay/decisions.py
+++ b/poplarspoke/relay/decisions.py
@@ -297,6 +297,7 @@
     outgoing.extend(upkeep.check_connections(state, now_s))
     outgoing.extend(pool.close_unused(state, now_s))
     quotas.expire_loans(state, now_s)
+    quotas.grow_shares(state, now_s)
     outgoing.extend(upkeep.check_sessions(state, now_s))
     return outgoing
 
--- a/poplarspoke/relay/operations.py
+++ b/poplarspoke/relay/operations.py
@@ -59,6 +59,8 @@
     session['workspace'] = workspace
     session['wrote'] = False
     state['operations'][session['session']] = operation
+    if workspace:
+        quotas.count_demand(state, workspace, now_s)
     if workspace and not quotas.admit(state, workspace, now_s):
         operation['awaits_rate'] = True
         return quotas.ask_peers(state, workspace, now_s)
--- a/poplarspoke/relay/quotas.py
+++ b/poplarspoke/relay/quotas.py
@@ -1,31 +1,48 @@
 """Operations that this host may start for a workspace.
 
-Rate and burst of a workspace count over all hosts. Each registered host has an
-equal share in a token bucket of its own and borrows from the others what they
-do not use; a restarted host starts with an empty bucket. So the tokens of all
-hosts together never exceed rate and burst.
+Rate and burst of a workspace count over all hosts. Some hosts own an equal
+share of them each, in a token bucket; how many depends on the burst, so that a
+share is worth some operations also where there are many hosts. The others
+borrow from the owners, which keep the room of lent tokens empty until the loan
+ends. A restarted host starts with an empty bucket. So the tokens of all hosts
+together never exceed rate and burst.
 """
 
+import math
+
 from typing import Any
 
+import xxhash
+
 from poplarspoke import buckets
-from poplarspoke.buckets import Bucket
 from poplarspoke.generated.rates import BorrowTokens, LendTokens
 from poplarspoke.generated.rules import WorkspaceRule
-from poplarspoke.relay.state import Loan, RelayState
+from poplarspoke.relay.state import Demand, Loan, RelayState, Share
 from poplarspoke.tasks import ToHost
 
 # Part of the tolerated excess that is used; the rest covers operations that
 # are admitted in one window and arrive at an endpoint in the next.
 EXCESS_PART = 0.5
-# Asks when fewer than this part of the share is left.
+# Asks when less than this part of the need is left.
 LOW_PART = 0.5
-# Peers asked at the same time; one that has none answers with zero.
+# An owner's share of the burst is worth at least so many operations.
+OWNER_TOKENS = 4
+# Some owners may be down, so a small workspace has this many too.
+MIN_OWNERS = 3
+# Owners asked at the same time; one that has none answers with zero.
 ASKED_PEERS = 2
 # A round trip between zones takes 3 ms; datagrams may be lost.
-ASK_AGAIN_S = 0.05
-# A grant that comes later than this is dropped, since its room is given up.
-GRANT_S = 1.0
+ASK_AGAIN_S = 0.02
+# Tokens asked for cover the operations of this time ahead.
+AHEAD_S = 0.5
+# The weight of the newest second in the measured demand.
+DEMAND_WEIGHT = 0.5
+# Lent tokens end after this time, at the lender and at the borrower. The
+# borrower counts from its question, so it never spends one that has ended.
+LOAN_S = 1.0
+# A share that grows starts after this time: a host that cannot be reached may
+# not know yet that its own has become smaller.
+GROW_S = 10.0
 # An operation waits so long for a borrowed token before it is refused.
 WAIT_S = 0.06
 
@@ -39,6 +56,7 @@
     kept = {rule.name for rule in workspaces}
     for name in set(state['buckets']) - kept:
         state['buckets'].pop(name)
+        state['shares'].pop(name, None)
     settings = state['settings']
     factor = 1 + settings.quota_excess * EXCESS_PART
     for rule in workspaces:
@@ -55,17 +73,57 @@
 
 
 def set_hosts(state: RelayState, now_s: float) -> None:
-    """Gives each bucket the share of one host."""
-    share = 1 / state['hosts'] if state['hosts'] else 0
-    for bucket in state['buckets'].values():
-        buckets.settle(bucket, now_s)
-        bucket['floor'] = share
-        capacity = bucket['burst'] * share
-        bucket['reserved'] = min(bucket['reserved'], capacity)
-        bucket['level'] = min(
-            bucket['level'],
-            max(capacity - bucket['reserved'], 0),
-        )
+    """Gives each bucket this host's share; growth waits for its time."""
+    if not state['hosts']:
+        return
+    for name in state['buckets']:
+        wanted = _find_share(state, name)
+        known = state['shares'].get(name)
+        if known is None or wanted <= known.fraction:
+            known = Share(wanted, wanted, now_s)
+        elif wanted != known.wanted:
+            known = Share(known.fraction, wanted, now_s + GROW_S)
+        state['shares'][name] = known
+        _apply_share(state, name, now_s)
+
+
+def grow_shares(state: RelayState, now_s: float) -> None:
+    """Applies shares whose growth has waited long enough."""
+    for name, known in list(state['shares'].items()):
+        if known.wanted == known.fraction or now_s < known.from_s:
+            continue
+        state['shares'][name] = known._replace(fraction=known.wanted)
+        if name in state['buckets']:
+            _apply_share(state, name, now_s)
+
+
+def list_owners(state: RelayState, workspace: str) -> list[str]:
+    """Returns the hosts that own shares of a workspace, by rendezvous."""
+    bucket = state['buckets'][workspace]
+    wanted = max(int(bucket['burst'] / OWNER_TOKENS), MIN_OWNERS)
+    hosts = [state['settings'].name, *state['peers']]
+    if wanted >= len(hosts):
+        return hosts
+    ranked = sorted(
+        hosts,
+        key=lambda host: xxhash.xxh64_intdigest(f'{workspace}/{host}'),
+    )
+    return ranked[:wanted]
+
+
+def _find_share(state: RelayState, workspace: str) -> float:
+    owners = list_owners(state, workspace)
+    if not state['hosts'] or state['settings'].name not in owners:
+        return 0
+    return 1 / len(owners)
+
+
+def _apply_share(state: RelayState, workspace: str, now_s: float) -> None:
+    bucket = state['buckets'][workspace]
+    buckets.settle(bucket, now_s)
+    bucket['floor'] = state['shares'][workspace].fraction
+    # Settling again cuts the level to the room that is left.
+    buckets.settle(bucket, now_s)
 
 
 def admit(state: RelayState, workspace: str, now_s: float) -> bool:
@@ -77,6 +135,19 @@
     return buckets.spend(bucket)
 
 
+def count_demand(state: RelayState, workspace: str, now_s: float) -> None:
+    """Counts an operation that a workspace has asked for."""
+    known = state['demand'].get(workspace, Demand(0, 0, now_s))
+    passed_s = now_s - known.since_s
+    if passed_s < 1:
+        known = known._replace(seen=known.seen + 1)
+    else:
+        rate = known.rate * math.pow(1 - DEMAND_WEIGHT, passed_s)
+        rate += DEMAND_WEIGHT * known.seen / passed_s
+        known = Demand(rate, 1, now_s)
+    state['demand'][workspace] = known
+
+
 def ask_peers(
     state: RelayState,
     workspace: str,
@@ -88,43 +159,52 @@
         return []
     if now_s < state['borrow_after_s'].get(workspace, 0):
         return []
-    capacity = bucket['burst'] * buckets.share(bucket, now_s)
-    if bucket['level'] > capacity * LOW_PART:
+    buckets.settle(bucket, now_s)
+    need = _estimate_need(state, workspace, now_s)
+    if buckets.available(bucket) >= max(need * LOW_PART, 1):
         return []
+    own = state['settings'].name
+    owners = [name for name in list_owners(state, workspace) if name != own]
+    asked = state['rng'].sample(owners, min(ASKED_PEERS, len(owners)))
     state['borrow_after_s'][workspace] = now_s + ASK_AGAIN_S
-    wanted = buckets.room(bucket, now_s) / ASKED_PEERS
-    peers = list(state['peers'])
-    asked = state['rng'].sample(peers, min(ASKED_PEERS, len(peers)))
     outgoing: list[Any] = []
     for peer in asked:
         state['borrow_id'] += 1
-        bucket['reserved'] += wanted
-        loan = Loan(workspace, wanted, now_s + GRANT_S)
+        loan = Loan(workspace, now_s + LOAN_S)
         state['borrowed'][state['borrow_id']] = loan
         request = BorrowTokens(
-            sender=state['settings'].name,
+            sender=own,
             borrow_id=state['borrow_id'],
             workspace=workspace,
-            tokens=wanted,
+            tokens=need / len(asked),
             incarnation=state['incarnation'],
+            keep_room=True,
         )
         outgoing.append(ToHost(peer, request))
     return outgoing
 
 
+def _estimate_need(
+    state: RelayState,
+    workspace: str,
+    now_s: float,
+) -> float:
+    demand = state['demand'].get(workspace, Demand(0, 0, now_s))
+    return 1 + max(demand.rate, demand.seen) * AHEAD_S
+
+
 def lend(
     state: RelayState,
     request: BorrowTokens,
     now_s: float,
 ) -> ToHost:
-    """Gives a peer up to half of the tokens in hand."""
+    """Gives a peer tokens and keeps their room empty until the loan ends."""
     bucket = state['buckets'].get(request.workspace)
     tokens = float(0)
     surplus = float(0)
     if bucket is not None:
         buckets.settle(bucket, now_s)
-        wanted = min(request.tokens, bucket['level'] / 2)
-        tokens = buckets.lend(bucket, wanted, 0)
+        tokens = buckets.lend(bucket, request.tokens, now_s + LOAN_S)
         surplus = bucket['level']
     reply = LendTokens(
         sender=state['settings'].name,
@@ -144,34 +224,16 @@
         return False
     state['borrowed'].pop(grant.borrow_id)
     bucket = state['buckets'].get(loan.workspace)
-    if bucket is None:
+    if bucket is None or now_s >= loan.until_s or not grant.tokens:
         return False
     buckets.settle(bucket, now_s)
-    if now_s > loan.until_s:
-        _give_up_room(bucket, loan)
-        return False
-    buckets.accept(bucket, grant.tokens, loan.room, 0, now_s)
+    hold = buckets.Hold(grant.tokens, loan.until_s)
+    bucket['loans'].append(hold)
     return True
 
 
 def expire_loans(state: RelayState, now_s: float) -> None:
-    """Gives up the room of grants that did not come."""
+    """Forgets questions for tokens that were not answered."""
     for borrow_id, loan in list(state['borrowed'].items()):
-        if now_s <= loan.until_s:
-            continue
-        state['borrowed'].pop(borrow_id)
-        bucket = state['buckets'].get(loan.workspace)
-        if bucket is not None:
-            _give_up_room(bucket, loan)
-
-
-def _give_up_room(bucket: Bucket, loan: Loan) -> None:
-    bucket['reserved'] = max(bucket['reserved'] - loan.room, 0)
-
-
-def estimate_wait_s(state: RelayState, workspace: str) -> float:
-    """Returns the seconds after which a token of the workspace is likely."""
-    bucket = state['buckets'].get(workspace)
-    if bucket is None or not bucket['rate']:
-        return 1
-    return 1 / bucket['rate']
+        if now_s > loan.until_s:
+            state['borrowed'].pop(borrow_id)
--- a/poplarspoke/relay/state.py
+++ b/poplarspoke/relay/state.py
@@ -39,13 +39,40 @@
 
 
 class Loan(NamedTuple):
-    """Room that is kept for tokens that a peer was asked for."""
+    """Question to an owner for tokens; they end at ``until_s``."""
 
     workspace: str
-    room: float
     until_s: float
 
 
+class Share(NamedTuple):
+    """This host's part of rate and burst of a workspace.
+
+    Attributes:
+        fraction: Part that is in force.
+        wanted: Part that will be in force from ``from_s`` on.
+        from_s: When it grows.
+    """
+
+    fraction: float
+    wanted: float
+    from_s: float
+
+
+class Demand(NamedTuple):
+    """Operations that a workspace asks of this host.
+
+    Attributes:
+        rate: Operations a second in the time before ``since_s``.
+        seen: Operations since then.
+        since_s: Start of the current second.
+    """
+
+    rate: float
+    seen: int
+    since_s: float
+
+
 class Operation(TypedDict):
     """A statement that has no answer yet.
 
@@ -189,6 +216,8 @@
     key_owners: dict[str, str]
     max_connections: dict[str, int]
     buckets: dict[str, Bucket]
+    shares: dict[str, Share]
+    demand: dict[str, Demand]
     borrow_id: int
     borrow_after_s: dict[str, float]
     borrowed: dict[int, Loan]
@@ -221,6 +250,8 @@
         key_owners={},
         max_connections={},
         buckets={},
+        shares={},
+        demand={},
         borrow_id=0,
         borrow_after_s={},
         borrowed={},
--- a/tests/relay_world.py
+++ b/tests/relay_world.py
@@ -122,11 +122,16 @@
             )
         self.post(EndpointsKnown(tuple(entries)))
 
-    def empty_bucket(self) -> None:
-        """Takes all tokens of the workspace."""
+    def settle_bucket(self) -> float:
+        """Returns the tokens that the workspace has now."""
         bucket = self.state['buckets']['blue']
         buckets.settle(bucket, self.now_s)
-        bucket['level'] = 0
+        return bucket['level']
+
+    def empty_bucket(self) -> None:
+        """Takes all tokens of the workspace."""
+        self.settle_bucket()
+        self.state['buckets']['blue']['level'] = 0
 
     def lease(self, endpoint: str, *, seconds: float = 8) -> list[Any]:
         """Gives the relay a lease on a primary."""
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -12,6 +12,7 @@
     CommitTransaction,
     EndpointLost,
     EndSession,
+    HostsKnown,
     ExecutePrepared,
     LeaseRevoked,
     LeasesRenewed,
@@ -383,6 +384,50 @@
     assert admitted == 2
 
 
+def test_small_workspace_has_few_owners() -> None:
+    """A share below one operation would refuse all of them."""
+    world = RelayWorld(rate=5, hosts=70)
+    owners = quotas.list_owners(world.state, 'blue')
+    assert len(owners) == quotas.MIN_OWNERS
+    share = world.state['buckets']['blue']['floor']
+    assert share == pytest.approx(('a' in owners) / 3)
+
+
+def test_all_hosts_agree_on_the_owners() -> None:
+    """Shares of hosts that disagree would sum up to more than the rate."""
+    world = RelayWorld(rate=5, hosts=70)
+    owners = quotas.list_owners(world.state, 'blue')
+    names = ['a', *world.state['peers']]
+    for name in names[:5]:
+        settings = world.state['settings']._replace(name=name)
+        world.state['settings'] = settings
+        others = tuple(sorted(set(names) - {name}))
+        world.post(HostsKnown(70, others))
+        assert set(quotas.list_owners(world.state, 'blue')) == set(owners)
+
+
+def test_share_that_grows_waits() -> None:
+    """A host that is cut off may still use its larger share."""
+    world = RelayWorld(rate=80, hosts=4)
+    world.post(HostsKnown(2, ('peer-0',)))
+    assert world.state['buckets']['blue']['floor'] == pytest.approx(0.25)
+    world.tick(quotas.GROW_S + 0.1)
+    assert world.state['buckets']['blue']['floor'] == pytest.approx(0.5)
+
+
+def test_lent_room_stays_empty_until_the_loan_ends() -> None:
+    """Otherwise lender and borrower together exceed the burst."""
+    world = RelayWorld(rate=8, hosts=2)
+    world.tick(5)
+    full = world.settle_bucket()
+    reply = world.post(BorrowTokens('b', 1, 'blue', 2, 1))[0].message
+    world.tick(0.9)
+    level = world.settle_bucket()
+    assert level + reply.tokens <= full + 1e-6
+    world.tick(0.5)
+    assert world.settle_bucket() > level
+
+
 def test_operation_waits_for_a_borrowed_token() -> None:
     """A host that gets more than its share must not refuse wrongly."""
     world = RelayWorld(rate=8, hosts=2)
