Let another process take the duty after its holder started again

Two changes at once rewrote the duty's row and stopped each other. A silence from before a primary's time was reported against it, and the change was made again. Ruled out: the store (all writes were answered) and the quotas. Change: an answer says whether its process holds the duty; the duty's row is a condition only; a silence ends 1.5 s after it was last noticed; an ordered promotion is waited for at most 1.6 s. Failed first: test_holder_that_started_again_does_not_block_the_duty, test_old_silence_is_forgotten, test_changes_of_two_services_do_not_stop_each_other.

--- a/poplarspoke/control/duty.py
+++ b/poplarspoke/control/duty.py
@@ -48,8 +48,9 @@
 STUCK_S = 2.0
 # Time for the other hosts to say whether an endpoint answers them.
 REACH_S = 0.45
-# An answer this recent speaks against a silent endpoint.
-RECENT_S = 1.0
+# An answer this recent speaks against a silent endpoint; it is shorter than the
+# silence that a host reports, so that the answer came after its start.
+RECENT_S = 0.35
 # After this the old holder can no longer order: an order is sent at most 1 s
 # after its write, on a connection that is given up 1 s later.
 OLD_HOLDER_S = 2.5
@@ -95,6 +96,7 @@
         state['settings'].name,
         message.service,
         state['duty'].record.token,
+        holds=True,
     )
     outgoing: list[Any] = [ToHost(message.sender, heard)]
     known = state['primaries'].get(message.service)
@@ -123,7 +125,7 @@
     duty = state['duty'].record
     own = state['settings'].name
     ago_s = now_s - state['holder_heard_s']
-    answer = ReportHeard(own, message.service, duty.token, ago_s)
+    answer = ReportHeard(own, message.service, duty.token, holder_ago_s=ago_s)
     outgoing = [ToHost(message.sender, answer)]
     if message.passed or duty.holder in {own, message.sender}:
         return outgoing
@@ -165,11 +167,15 @@
     if message.token != duty.token:
         return
     report = state['reports'].get(message.service)
-    if message.sender == duty.holder:
+    if message.holds:
         state['holder_heard_s'] = now_s
     if report is None:
         return
     report['peer_s'] = now_s
+    if message.sender == duty.holder and not message.holds:
+        # It has started again and does not hold the duty any more.
+        report['heard_s'] = min(report['heard_s'], now_s - ALONE_S)
+        return
     heard_s = now_s - message.holder_ago_s
     if heard_s > report['heard_s']:
         report['heard_s'] = heard_s
@@ -253,12 +259,12 @@
     if is_holder(state):
         return _act(state, report, now_s)
     holder = state['duty'].record.holder
-    if not holder or _is_holder_gone(state, report, now_s):
+    own = state['settings'].name
+    if holder in {'', own} or _is_holder_gone(state, report, now_s):
         return _take(state, now_s)
     if now_s < report['next_s']:
         return []
     report['next_s'] = now_s + REPORT_AGAIN_S
-    own = state['settings'].name
     message = ReportPrimary(
         own,
         report['service'],
--- a/poplarspoke/control/handover.py
+++ b/poplarspoke/control/handover.py
@@ -377,11 +377,10 @@
         term=change['term'],
     )
     known = state['primaries'][service]
-    duty = state['duty']
     return records.write(
         state,
         AdvanceChange(service),
-        records.write_duty(duty.record, duty.version),
+        records.require_duty(state['duty'].version),
         records.write_primary(record, known.version),
     )
 
--- a/poplarspoke/control/records.py
+++ b/poplarspoke/control/records.py
@@ -47,6 +47,11 @@
     return RecordWrite(DUTY_KEY, version, _dump(record))
 
 
+def require_duty(version: int) -> RecordWrite:
+    """Returns the condition that the duty has not been taken since."""
+    return RecordWrite(DUTY_KEY, version, unchanged=True)
+
+
 def write_primary(record: PrimaryRecord, version: int) -> RecordWrite:
     """Returns the write of a primary's row."""
     return RecordWrite(PRIMARY_PREFIX + record.service, version, _dump(record))
--- a/poplarspoke/platform/metadata.py
+++ b/poplarspoke/platform/metadata.py
@@ -127,7 +127,7 @@
             'setKeys': [
                 _encode_row(write)
                 for write in change.writes
-                if not write.removed
+                if not write.removed and not write.unchanged
             ],
             'deleteKeys': [
                 _name_key(write) for write in change.writes if write.removed
@@ -148,6 +148,7 @@
             rows=tuple(
                 TableRow(write.key, version, write.removed, write.content)
                 for write in change.writes
+                if not write.unchanged
             ),
         )
 
--- a/poplarspoke/relay/deadlines.py
+++ b/poplarspoke/relay/deadlines.py
@@ -19,6 +19,8 @@
 # A promotion that has been ordered takes 0.3 s to 1.0 s on the platform; a
 # caller that is told to come back has two retries only.
 CHANGE_WAIT_S = 1.2
+# A change that takes longer than this has failed on its way.
+EXPECTED_S = 1.6
 # Without a primary a statement is refused, since another host may reach it; a
 # primary that was released and kept is back within some round trips.
 NO_PRIMARY_WAIT_S = 0.05
@@ -102,7 +104,8 @@
     """Returns how long it is worth waiting for an endpoint."""
     service = operation['route'].service
     primary = routing.find_primary(state, service, now_s)
-    if service in state['expected']:
+    expected_s = state['expected'].get(service, 0)
+    if expected_s and now_s - expected_s < EXPECTED_S:
         return CHANGE_WAIT_S
     if not primary or _is_unreachable(state, primary, now_s):
         return NO_PRIMARY_WAIT_S
--- a/poplarspoke/relay/decisions.py
+++ b/poplarspoke/relay/decisions.py
@@ -231,7 +231,10 @@
 def _(message: LeasesRenewed, state: RelayState, now_s: float) -> list[Any]:
     before = state['leases']
     state['leases'] = {lease.service: lease for lease in message.leases}
-    state['expected'] = frozenset(message.expected)
+    state['expected'] = {
+        service: state['expected'].get(service, now_s)
+        for service in message.expected
+    }
     outgoing: list[Any] = []
     for service, lease in state['leases'].items():
         known = before.get(service)
@@ -269,7 +272,7 @@
     heard_ago_s = float(-1)
     silent = False
     if endpoint is not None:
-        silent = bool(endpoint['silent_since_s'])
+        silent = upkeep.is_silent(endpoint, now_s)
         if endpoint['heard_s']:
             heard_ago_s = now_s - endpoint['heard_s']
     host = state['settings'].name
--- a/poplarspoke/relay/routing.py
+++ b/poplarspoke/relay/routing.py
@@ -145,5 +145,5 @@
     if not has_idle:
         cost += HANDSHAKE_COST_S
     if endpoint['silent_since_s']:
-        cost += now_s - endpoint['silent_since_s']
+        cost += endpoint['failed_s'] - endpoint['silent_since_s']
     return cost
--- a/poplarspoke/relay/state.py
+++ b/poplarspoke/relay/state.py
@@ -182,6 +182,7 @@
         latency_s: Moving average of its answers.
         heard_s: When it last answered; 0 if never.
         silent_since_s: Start of its silence; 0 if it answers.
+        failed_s: When its silence was last noticed.
         avoid_until_s: Until when nothing is sent to it after a failure.
         failures: Failures in a row.
         behind_until_s: Until when its log is taken to lag too far.
@@ -194,6 +195,7 @@
     latency_s: float
     heard_s: float
     silent_since_s: float
+    failed_s: float
     avoid_until_s: float
     failures: int
     behind_until_s: float
@@ -205,7 +207,8 @@
     """State of the relay of one host.
 
     Attributes:
-        expected: Services whose new primary has been ordered.
+        expected: When a new primary of a service was first known to have
+            been ordered.
     """
 
     settings: HostSettings
@@ -224,7 +227,7 @@
     hosts: int
     peers: tuple[str, ...]
     leases: dict[str, PrimaryLease]
-    expected: frozenset[str]
+    expected: dict[str, float]
     endpoints: dict[str, Endpoint]
     observations: dict[str, deque[Observation]]
     sessions: dict[int, Session]
@@ -258,7 +261,7 @@
         hosts=0,
         peers=(),
         leases={},
-        expected=frozenset(),
+        expected={},
         endpoints={},
         observations={},
         sessions={},
@@ -299,6 +302,7 @@
         latency_s=0,
         heard_s=0,
         silent_since_s=0,
+        failed_s=0,
         avoid_until_s=0,
         failures=0,
         behind_until_s=0,
--- a/poplarspoke/relay/upkeep.py
+++ b/poplarspoke/relay/upkeep.py
@@ -17,6 +17,9 @@
 # longest work is 0.17 s; one that is only slow answers other statements, and
 # the holder of the duty asks it and the other hosts before it acts.
 SILENCE_S = 0.4
+# A silence counts for so long after it was last noticed; failed endpoints are
+# tried again after a second at most.
+SILENCE_KEPT_S = 1.5
 # New connections that no answer came to; TCP alone would wait for seconds.
 OPEN_TIMEOUT_S = 0.4
 # Sessions are closed spread over this time at a shutdown.
@@ -41,8 +44,7 @@
     endpoint['failures'] += 1
     wait_s = AVOID_S * 2 ** min(endpoint['failures'], MAX_DOUBLINGS)
     endpoint['avoid_until_s'] = now_s + min(wait_s, MAX_AVOID_S)
-    if not endpoint['silent_since_s']:
-        endpoint['silent_since_s'] = now_s
+    _extend_silence(endpoint, now_s, now_s)
 
 
 def check_connections(state: RelayState, now_s: float) -> list[Any]:
@@ -51,7 +53,7 @@
     for connection in list(state['connections'].values()):
         waited_s = now_s - connection['sent_s']
         if connection['in_flight'] is not None and waited_s >= SILENCE_S:
-            _note_silence(state, connection)
+            _note_silence(state, connection, now_s)
         if not connection['ready'] and waited_s > OPEN_TIMEOUT_S:
             outgoing.extend(_fail_connection(state, connection, now_s))
     for name, endpoint in state['endpoints'].items():
@@ -90,18 +92,32 @@
     return [pool.close(state, number)]
 
 
-def _note_silence(state: RelayState, connection: Connection) -> None:
+def _note_silence(
+    state: RelayState,
+    connection: Connection,
+    now_s: float,
+) -> None:
     endpoint = state['endpoints'].get(connection['endpoint'])
     if endpoint is None or endpoint['heard_s'] > connection['sent_s']:
         return
+    _extend_silence(endpoint, connection['sent_s'], now_s)
+
+
+def _extend_silence(endpoint: Endpoint, since_s: float, now_s: float) -> None:
+    # An earlier silence that nobody has noticed for a while says nothing.
+    if now_s - endpoint['failed_s'] > SILENCE_KEPT_S:
+        endpoint['silent_since_s'] = 0
     if not endpoint['silent_since_s']:
-        endpoint['silent_since_s'] = connection['sent_s']
+        endpoint['silent_since_s'] = since_s
+    endpoint['failed_s'] = now_s
 
 
 def is_silent(endpoint: Endpoint, now_s: float) -> bool:
     """Returns whether an endpoint has not answered for too long."""
     since_s = endpoint['silent_since_s']
-    return bool(since_s) and now_s - since_s >= SILENCE_S
+    if not since_s or now_s - endpoint['failed_s'] > SILENCE_KEPT_S:
+        return False
+    return now_s - since_s >= SILENCE_S
 
 
 def _fail_connection(
--- a/poplarspoke/schema/control.capnp
+++ b/poplarspoke/schema/control.capnp
@@ -87,6 +87,7 @@
   expected @1 :UInt64;  # 0 if the row must not exist.
   content @2 :Text;
   removed @3 :Bool;
+  unchanged @4 :Bool;  # The row is a condition only and is not written.
 }
 
 struct WriteRecords {
@@ -152,6 +153,7 @@
   service @1 :Text;
   token @2 :UInt64;
   holderAgoS @3 :Float64;  # Since the sender last heard the holder.
+  holds @4 :Bool;  # The process that answers holds the duty.
 }
 
 struct AskRelease {
--- a/tests/control_world.py
+++ b/tests/control_world.py
@@ -233,7 +233,8 @@
             self.post(name, lost)
             return
         self.version += 1
-        for write in change.writes:
+        written_rows = [write for write in change.writes if not write.unchanged]
+        for write in written_rows:
             self.rows[write.key] = TableRow(
                 write.key, self.version, content=write.content
             )
@@ -242,7 +243,7 @@
             accepted=True,
             known=True,
             version=self.version,
-            rows=tuple(self.rows[write.key] for write in change.writes),
+            rows=tuple(self.rows[write.key] for write in written_rows),
         )
         self.post(name, written)
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -189,6 +189,37 @@
     assert (record['endpoint'], record['phase']) == ('m2', 'stable')
 
 
+def test_holder_that_started_again_does_not_block_the_duty(
+    world: ControlWorld,
+) -> None:
+    """Its answers must not be taken for those of the process before."""
+    world.silent.update(('h0', 'h1', 'h2'))
+    world.set_entry('m1', draining=True)
+    world.run(1)
+    holder = world.record('duty')['holder']
+    for name in ('h0', 'h1', 'h2'):
+        world.start(name, incarnation=2)
+    world.silent.clear()
+    world.run(8)
+    record = world.record(PRIMARY_KEY)
+    assert (record['endpoint'], record['phase']) == ('m2', 'stable')
+    assert world.record('duty')['holder'] == holder
+    assert world.record('duty')['incarnation'] == 2
+
+
+def test_changes_of_two_services_do_not_stop_each_other(
+    world: ControlWorld,
+) -> None:
+    """Their rows share the condition on the duty."""
+    world.set_entry('m1', draining=True)
+    world.run(3)
+    version = world.rows['duty'].version
+    world.set_entry('m2', draining=True)
+    world.run(3)
+    assert world.record(PRIMARY_KEY)['endpoint'] == 'm3'
+    assert world.rows['duty'].version == version
+
+
 def test_superseded_primary_is_not_taken_for_the_new_one(
     world: ControlWorld,
 ) -> None:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -28,7 +28,7 @@
     ShutDown,
     WriteItem,
 )
-from poplarspoke.relay import quotas
+from poplarspoke.relay import quotas, upkeep
 from poplarspoke.relay.messages import Forward
 from poplarspoke.tasks import ToHost
 
@@ -134,12 +134,21 @@
     """Another host may reach it, and the caller can go there."""
     world.start(1, 'primary')
     world.state['endpoints'][PRIMARY]['silent_since_s'] = world.now_s - 1
+    world.state['endpoints'][PRIMARY]['failed_s'] = world.now_s
     world.state['endpoints'][PRIMARY]['avoid_until_s'] = world.now_s + 1
     world.write(1)
     answers = find(world.tick(0.1), SendAnswer)
     assert [answer.code for answer in answers] == [AnswerCode.BUSY]
 
 
+def test_old_silence_is_forgotten(world: RelayWorld) -> None:
+    """A new primary must not be reported for a silence before its time."""
+    endpoint = world.state['endpoints'][PRIMARY]
+    endpoint['silent_since_s'] = world.now_s - 9
+    endpoint['failed_s'] = world.now_s - 8
+    assert not upkeep.is_silent(endpoint, world.now_s)
+
+
 def test_expired_lease_counts_as_none(world: RelayWorld) -> None:
     """A frozen host must not use a lease that ran out meanwhile."""
     world.start(1, 'primary')
