--- a/poplarspoke/control/decisions.py
+++ b/poplarspoke/control/decisions.py
@@ -3,7 +3,7 @@
 import functools
 from typing import Any
 
-from poplarspoke.control import duty, handover, records, tables
+from poplarspoke.control import confirmation, duty, handover, records, tables
 from poplarspoke.control.state import (
     ENDPOINTS,
     RECORDS,
@@ -18,7 +18,9 @@
 )
 from poplarspoke.generated.common import Tick
 from poplarspoke.generated.control import (
+    AskConfirmed,
     AskRelease,
+    Confirmed,
     EndpointState,
     HostRecord,
     PrimaryPhase,
@@ -94,6 +96,7 @@
     for endpoint, heard_s in list(state['silent'].items()):
         if now_s - heard_s > SILENCE_KEPT_S:
             state['silent'].pop(endpoint)
+    outgoing.extend(confirmation.check(state, now_s))
     outgoing.extend(_ask_views(state, now_s))
     outgoing.extend(_register(state, now_s))
     outgoing.extend(_name_primaries(state, now_s))
@@ -139,6 +142,16 @@
     return duty.take_report(state, message, now_s)
 
 
+@decide.register
+def _(message: AskConfirmed, state: ControlState, now_s: float) -> list[Any]:
+    return [confirmation.answer(state, message, now_s)]
+
+
+@decide.register
+def _(message: Confirmed, state: ControlState, now_s: float) -> list[Any]:
+    return confirmation.take(state, message, now_s)
+
+
 @decide.register
 def _(message: ReportHeard, state: ControlState, now_s: float) -> list[Any]:
     duty.take_heard(state, message, now_s)
--- a/poplarspoke/control/feeds.py
+++ b/poplarspoke/control/feeds.py
@@ -17,15 +17,16 @@
     OrderPromotion,
     PromotionAnswered,
     RecordsWritten,
+    SetWatch,
     TableLost,
     TableRows,
     WriteRecords,
 )
 
-# Longest time of one watch. The records confirm the leases of this host, so
-# their watch ends in time for several tries within a lease; the others only
-# end to notice a connection that has gone silent.
-WATCH_S = {RULES: 5.0, ENDPOINTS: 5.0, RECORDS: 2.0}
+# Longest time of one watch until the control task sets another. The records
+# confirm the leases of this host; the others only end to notice a connection
+# that has gone silent, which peers notice earlier.
+WATCH_S = {RULES: 20.0, ENDPOINTS: 20.0, RECORDS: 2.0}
 # The store answers in 4 ms, and 60 times slower when it is slow.
 ANSWER_S = 1.0
 # Tries after a failure are spread, so that hosts do not all return at once.
@@ -93,6 +94,9 @@
         self._now_s = now_s
         self._rng = rng
         self._group: TaskGroup
+        self._waits_s = dict(WATCH_S)
+        self._versions = dict.fromkeys(TABLES, 0)
+        self._scopes: dict[str, anyio.CancelScope] = {}
 
     async def __aenter__(self) -> Self:
         """Starts one watch for each table."""
@@ -106,6 +110,13 @@
         self._group.cancel_scope.cancel()
         await self._group.__aexit__(None, None, None)
 
+    def set_watch(self, message: SetWatch) -> None:
+        """Sets the length of watches and starts a new one at once."""
+        self._waits_s[message.table] = message.wait_s
+        scope = self._scopes.get(message.table)
+        if scope is not None:
+            scope.cancel()
+
     def send_write(self, change: WriteRecords) -> None:
         """Starts a write; its outcome is posted."""
         self._group.start_soon(self._write, change)
@@ -116,25 +127,34 @@
 
     async def _watch(self, table: str) -> None:
         while True:
-            try:
-                async with self._connect() as client:
-                    await self._follow(client, table)
-            except errors.PoplarspokeError as exc:
-                self._post(TableLost(table, str(exc)))
+            if await self._connect_and_follow(table):
+                continue
             wait_s = self._rng.uniform(MIN_RETRY_S, MAX_RETRY_S)
             await anyio.sleep(wait_s)
 
+    async def _connect_and_follow(self, table: str) -> bool:
+        """Returns whether the watch ended to be started anew."""
+        scope = anyio.CancelScope()
+        self._scopes[table] = scope
+        try:
+            with scope:
+                async with self._connect() as client:
+                    await self._follow(client, table)
+        except errors.PoplarspokeError as exc:
+            self._post(TableLost(table, str(exc)))
+        return scope.cancelled_caught
+
     async def _follow(self, client: MetadataClient, table: str) -> None:
         """Reads a table and watches it until a call fails."""
-        version = 0
         while True:
             asked_s = self._now_s()
+            version = self._versions[table]
             if not version:
                 rows = await client.read_table(table, timeout_s=ANSWER_S)
-                version = rows.version
+                self._versions[table] = rows.version
                 self._post(rows._replace(asked_s=asked_s, complete=True))
                 continue
-            wait_s = WATCH_S[table]
+            wait_s = self._waits_s[table]
             changed = await client.watch_table(
                 table,
                 version,
@@ -142,9 +162,9 @@
                 timeout_s=wait_s + ANSWER_S,
             )
             if changed is None:
-                version = 0
+                self._versions[table] = 0
                 continue
-            version = max(version, changed.version)
+            self._versions[table] = max(version, changed.version)
             self._post(changed._replace(asked_s=asked_s))
 
     async def _write(self, change: WriteRecords) -> None:
--- a/poplarspoke/control/state.py
+++ b/poplarspoke/control/state.py
@@ -201,6 +201,9 @@
         duty_wait_s: Until when a new holder orders nothing.
         holder_heard_s: When the holder of the duty last answered this host.
         removed_hosts: When the row of a host was seen to go.
+        ask_s: When a reader is asked next.
+        watch_s: How long this host's watches of the records last.
+        behind_since_s: When a peer was first seen to have newer rows.
     """
 
     settings: HostSettings
@@ -227,6 +230,9 @@
     bootstrap_s: float
     register_s: float
     view_s: float
+    ask_s: float
+    watch_s: float
+    behind_since_s: dict[str, float]
     leaving: bool
     ready: bool
     removed_hosts: dict[str, float]
@@ -265,6 +271,9 @@
         bootstrap_s=0,
         register_s=0,
         view_s=0,
+        ask_s=0,
+        watch_s=0,
+        behind_since_s={},
         leaving=False,
         ready=False,
         removed_hosts={},
--- a/poplarspoke/schema/control.capnp
+++ b/poplarspoke/schema/control.capnp
@@ -199,6 +199,28 @@
   request @1 :ShowView;
 }
 
+struct AskConfirmed {
+  # Asks a host what it has read of the store lately.
+  sender @0 :Text;
+  askedS @1 :Float64;  # Clock of the sender; comes back with the answer.
+}
+
+struct Confirmed {
+  # Answer to AskConfirmed; versions are those of the newest row.
+  sender @0 :Text;
+  askedS @1 :Float64;
+  ageS @2 :Float64;  # Since the question that confirmed the records.
+  rules @3 :UInt64;
+  endpoints @4 :UInt64;
+  records @5 :UInt64;
+}
+
+struct SetWatch {
+  # Changes how long watches of a table last, and starts a new one.
+  table @0 :Text;
+  waitS @1 :Float64;
+}
+
 struct PeerDatagram {
   # One datagram between hosts.
   union {
@@ -211,5 +233,7 @@
     borrowTokens @6 :Rates.BorrowTokens;
     lendTokens @7 :Rates.LendTokens;
     releaseIdle @8 :Relay.ReleaseIdle;
+    askConfirmed @9 :AskConfirmed;
+    confirmed @10 :Confirmed;
   }
 }
--- a/poplarspoke/session_host.py
+++ b/poplarspoke/session_host.py
@@ -186,6 +186,7 @@
             'links': self.links.set_peers,
             'views': views.fetch,
             'endpoints': queries.send,
+            'feeds': self.feeds.set_watch,
             'log': self.write_log,
         }
         for name, inbox in inboxes.items():
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -3,11 +3,13 @@
 import pytest
 
 from poplarspoke.control import handover, tables
-from poplarspoke.control.state import RECORDS
+from poplarspoke.control.state import RECORDS, RULES
 from poplarspoke.generated.common import Position
 from poplarspoke.generated.control import (
+    Confirmed,
     DutyRecord,
     EndpointState,
+    SetWatch,
     ShowView,
     TableRow,
     TableRows,
@@ -278,6 +280,50 @@
     assert world.lease('h0') == 'm1'
 
 
+def test_confirmation_of_a_reader_renews_leases(world: ControlWorld) -> None:
+    """Leases must not end while a peer still reads the store."""
+    world.deaf.add('h0')
+    world.run(tables.LEASE_S + 2)
+    assert world.lease('h0') == 'm1'
+
+
+def test_confirmation_with_newer_rows_renews_nothing(
+    world: ControlWorld,
+) -> None:
+    """The newer row may say that the primary changes."""
+    world.deaf.add('h0')
+    state = world.hosts['h0']
+    before_s = state['tables'][RECORDS]['confirmed_s']
+    world.now_s += 1
+    newest = max(row.version for row in world.rows.values()) + 1
+    world.post('h0', Confirmed('h1', world.now_s, 0, 0, 0, newest))
+    assert state['tables'][RECORDS]['confirmed_s'] == before_s
+
+
+def test_confirmation_counts_from_the_question(world: ControlWorld) -> None:
+    """A delayed answer must not lengthen a lease."""
+    world.deaf.add('h0')
+    state = world.hosts['h0']
+    newest = max(row.version for row in world.rows.values())
+    asked_s = world.now_s + 1
+    world.now_s += 5
+    world.post('h0', Confirmed('h1', asked_s, 0.4, 0, 0, newest))
+    confirmed_s = state['tables'][RECORDS]['confirmed_s']
+    assert confirmed_s == pytest.approx(asked_s - 0.4)
+
+
+def test_silent_watch_is_restarted(world: ControlWorld) -> None:
+    """A watch on a dead connection hears of no change."""
+    world.deaf.add('h0')
+    world.sent['h0'].clear()
+    for _ in range(8):
+        world.now_s += 0.2
+        world.post('h0', Confirmed('h1', world.now_s, 0, 99, 0, 0))
+    assert {found.table for found in find(world.sent['h0'], SetWatch)} == {
+        RULES
+    }
+
+
 def test_absent_endpoint_is_kept_for_a_while(world: ControlWorld) -> None:
     """Entries lapse while the store is away and come back after it."""
     world.version += 1
