--- a/poplarspoke/control/feeds.py
+++ b/poplarspoke/control/feeds.py
@@ -13,6 +13,7 @@
 
 from poplarspoke import errors
 from poplarspoke.control.state import ENDPOINTS, RECORDS, RULES, TABLES
+from poplarspoke.control.tables import HOST_PREFIX
 from poplarspoke.generated.control import (
     OrderPromotion,
     PromotionAnswered,
@@ -29,6 +30,9 @@
 WATCH_S = {RULES: 20.0, ENDPOINTS: 20.0, RECORDS: 2.0}
 # The store answers in 4 ms, and 60 times slower when it is slow.
 ANSWER_S = 1.0
+# Rows of hosts are read together: at a start of the fleet every host writes one,
+# and each would wake all the others.
+GATHER_S = 0.3
 # Tries after a failure are spread, so that hosts do not all return at once.
 MIN_RETRY_S = 0.15
 MAX_RETRY_S = 0.45
@@ -166,6 +170,8 @@
                 continue
             self._versions[table] = max(version, changed.version)
             self._post(changed._replace(asked_s=asked_s))
+            if _is_only_hosts(changed):
+                await anyio.sleep(GATHER_S)
 
     async def _write(self, change: WriteRecords) -> None:
         try:
@@ -184,3 +190,9 @@
             # The control task logs status 0 and orders again.
             answer = PromotionAnswered(order.service, order.endpoint)
         self._post(answer)
+
+
+def _is_only_hosts(changed: TableRows) -> bool:
+    if not changed.rows:
+        return False
+    return all(row.key.startswith(HOST_PREFIX) for row in changed.rows)
