--- a/poplarspoke/relay/deadlines.py
+++ b/poplarspoke/relay/deadlines.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from poplarspoke.generated.rates import LendTokens
 from poplarspoke.generated.relay import AnswerCode, SessionPhase
 from poplarspoke.relay import (
     answers,
@@ -49,16 +50,20 @@
 
 def serve_rate(
     state: RelayState,
-    workspace: str,
+    grant: LendTokens,
     now_s: float,
 ) -> list[Any]:
     """Admits operations that waited for a token of a workspace."""
+    workspace = grant.workspace
     outgoing: list[Any] = []
     for operation in list(state['operations'].values()):
         if not operation['awaits_rate'] or operation['workspace'] != workspace:
             continue
         if not quotas.admit(state, workspace, now_s):
-            break
+            asked = quotas.ask_owner(
+                state, workspace, now_s, emptied=grant.sender
+            )
+            return [*outgoing, *asked]
         operation['awaits_rate'] = False
         outgoing.extend(operations.place(state, operation, now_s))
     return outgoing
@@ -74,7 +79,7 @@
         operation['awaits_rate'] = False
         return operations.place(state, operation, now_s)
     if now_s - operation['arrived_s'] < quotas.WAIT_S:
-        return quotas.ask_peers(state, workspace, now_s)
+        return quotas.ask_owner(state, workspace, now_s)
     return outcomes.give_up(state, operation, now_s, 'rate exceeded')
 
 
--- a/poplarspoke/relay/decisions.py
+++ b/poplarspoke/relay/decisions.py
@@ -256,9 +256,8 @@
 
 @decide.register
 def _(message: LendTokens, state: RelayState, now_s: float) -> list[Any]:
-    if not quotas.take_loan(state, message, now_s):
-        return []
-    return deadlines.serve_rate(state, message.workspace, now_s)
+    quotas.take_loan(state, message, now_s)
+    return deadlines.serve_rate(state, message, now_s)
 
 
 @decide.register
--- a/poplarspoke/relay/operations.py
+++ b/poplarspoke/relay/operations.py
@@ -63,10 +63,10 @@
         quotas.count_demand(state, workspace, now_s)
     if workspace and not quotas.admit(state, workspace, now_s):
         operation['awaits_rate'] = True
-        return quotas.ask_peers(state, workspace, now_s)
+        return quotas.ask_owner(state, workspace, now_s)
     outgoing = place(state, operation, now_s)
     if workspace:
-        outgoing.extend(quotas.ask_peers(state, workspace, now_s))
+        outgoing.extend(quotas.ask_owner(state, workspace, now_s))
     return outgoing
 
 
--- a/poplarspoke/relay/quotas.py
+++ b/poplarspoke/relay/quotas.py
@@ -23,18 +23,15 @@
 # Part of the tolerated excess that is used; the rest covers operations that
 # are admitted in one window and arrive at an endpoint in the next.
 EXCESS_PART = 0.5
-# Asks when less than this part of the need is left.
-LOW_PART = 0.5
 # An owner's share of the burst is worth at least so many operations.
 OWNER_TOKENS = 4
 # Some owners may be down, so a small workspace has this many too.
 MIN_OWNERS = 3
-# Owners asked at the same time; one that has none answers with zero.
-ASKED_PEERS = 2
 # A round trip between zones takes 3 ms; datagrams may be lost.
 ASK_AGAIN_S = 0.02
-# Tokens asked for cover the operations of this time ahead.
-AHEAD_S = 0.5
+# Tokens asked for cover the operations of this time ahead; what is lent and not
+# used until the loan ends is lost to the workspace.
+AHEAD_S = 0.2
 # The weight of the newest second in the measured demand.
 DEMAND_WEIGHT = 0.5
 # Lent tokens end after this time, at the lender and at the borrower. The
@@ -148,40 +145,52 @@
     state['demand'][workspace] = known
 
 
-def ask_peers(
+def ask_owner(
     state: RelayState,
     workspace: str,
     now_s: float,
+    *,
+    emptied: str = '',
 ) -> list[Any]:
-    """Asks some peers for tokens if the share runs low."""
+    """Asks an owner for tokens if there are too few.
+
+    Args:
+        state: State of the relay.
+        workspace: Workspace whose operations wait or are expected.
+        now_s: Boot clock in seconds.
+        emptied: Owner that has just answered; another one is asked.
+    """
     bucket = state['buckets'].get(workspace)
     if bucket is None or not state['peers']:
         return []
-    if now_s < state['borrow_after_s'].get(workspace, 0):
+    if not emptied and now_s < state['borrow_after_s'].get(workspace, 0):
         return []
     buckets.settle(bucket, now_s)
     need = _estimate_need(state, workspace, now_s)
-    if buckets.available(bucket) >= max(need * LOW_PART, 1):
+    missing = need - buckets.available(bucket)
+    if missing <= 0:
         return []
     own = state['settings'].name
-    owners = [name for name in list_owners(state, workspace) if name != own]
-    asked = state['rng'].sample(owners, min(ASKED_PEERS, len(owners)))
+    owners = [
+        name
+        for name in list_owners(state, workspace)
+        if name not in {own, emptied}
+    ]
+    if not owners:
+        return []
     state['borrow_after_s'][workspace] = now_s + ASK_AGAIN_S
-    outgoing: list[Any] = []
-    for peer in asked:
-        state['borrow_id'] += 1
-        loan = Loan(workspace, now_s + LOAN_S)
-        state['borrowed'][state['borrow_id']] = loan
-        request = BorrowTokens(
-            sender=own,
-            borrow_id=state['borrow_id'],
-            workspace=workspace,
-            tokens=need / len(asked),
-            incarnation=state['incarnation'],
-            keep_room=True,
-        )
-        outgoing.append(ToHost(peer, request))
-    return outgoing
+    state['borrow_id'] += 1
+    loan = Loan(workspace, now_s + LOAN_S)
+    state['borrowed'][state['borrow_id']] = loan
+    request = BorrowTokens(
+        sender=own,
+        borrow_id=state['borrow_id'],
+        workspace=workspace,
+        tokens=missing,
+        incarnation=state['incarnation'],
+        keep_room=True,
+    )
+    return [ToHost(state['rng'].choice(owners), request)]
 
 
 def _estimate_need(
@@ -190,7 +199,7 @@
     now_s: float,
 ) -> float:
     demand = state['demand'].get(workspace, Demand(0, 0, now_s))
-    return 1 + max(demand.rate, demand.seen) * AHEAD_S
+    return max(demand.rate * AHEAD_S, 1)
 
 
 def lend(
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -455,6 +455,18 @@
     assert isinstance(world.forward(world.post(grant)).statement, ReadItem)
 
 
+def test_another_owner_is_asked_when_one_has_no_token() -> None:
+    """The tokens of a workspace may all be at one owner."""
+    world = RelayWorld(rate=80, hosts=4)
+    world.start(1, 'primary')
+    world.empty_bucket()
+    asked = find(world.read(1), ToHost)[0]
+    request = asked.message
+    empty = LendTokens(asked.host, request.borrow_id, 'blue', 0, 1)
+    again = find(world.post(empty), ToHost)
+    assert [found.host != asked.host for found in again] == [True]
+
+
 def test_over_the_rate_is_refused_at_once() -> None:
     """A caller over its rate must learn when to return, not wait."""
     world = RelayWorld(rate=8, hosts=2)
