--- a/poplarspoke/control/feeds.py
+++ b/poplarspoke/control/feeds.py
@@ -30,8 +30,8 @@
 WATCH_S = {RULES: 20.0, ENDPOINTS: 20.0, RECORDS: 2.0}
 # The store answers in 4 ms, and 60 times slower when it is slow.
 ANSWER_S = 1.0
-# Rows of hosts are read together: at a start of the fleet every host writes one,
-# and each would wake all the others.
+# Rows of hosts and endpoints are read together: at a start of the fleet each of
+# them writes one, which would wake all hosts each time.
 GATHER_S = 0.3
 # Tries after a failure are spread, so that hosts do not all return at once.
 MIN_RETRY_S = 0.15
@@ -99,7 +99,8 @@
         self._rng = rng
         self._group: TaskGroup
         self._waits_s = dict(WATCH_S)
-        self._versions = dict.fromkeys(TABLES, 0)
+        # Version that a watch goes on from; None reads the table first.
+        self._versions: dict[str, int | None] = dict.fromkeys(TABLES)
         self._scopes: dict[str, anyio.CancelScope] = {}
 
     async def __aenter__(self) -> Self:
@@ -153,7 +154,7 @@
         while True:
             asked_s = self._now_s()
             version = self._versions[table]
-            if not version:
+            if version is None:
                 rows = await client.read_table(table, timeout_s=ANSWER_S)
                 self._versions[table] = rows.version
                 self._post(rows._replace(asked_s=asked_s, complete=True))
@@ -166,11 +167,11 @@
                 timeout_s=wait_s + ANSWER_S,
             )
             if changed is None:
-                self._versions[table] = 0
+                self._versions[table] = None
                 continue
             self._versions[table] = max(version, changed.version)
             self._post(changed._replace(asked_s=asked_s))
-            if _is_only_hosts(changed):
+            if _may_gather(changed):
                 await anyio.sleep(GATHER_S)
 
     async def _write(self, change: WriteRecords) -> None:
@@ -192,7 +193,10 @@
         self._post(answer)
 
 
-def _is_only_hosts(changed: TableRows) -> bool:
-    if not changed.rows:
+def _may_gather(changed: TableRows) -> bool:
+    """Returns whether what comes next may be read a little later."""
+    if not changed.rows or changed.table == RULES:
         return False
+    if changed.table == ENDPOINTS:
+        return True
     return all(row.key.startswith(HOST_PREFIX) for row in changed.rows)
--- /dev/null
+++ b/tests/test_feeds.py
@@ -0,0 +1,166 @@
+"""Watches of the metadata store."""
+
+import random
+from typing import Any, Self
+
+import anyio
+import pytest
+
+from poplarspoke import errors
+from poplarspoke.control.feeds import Feeds
+from poplarspoke.control.state import RULES, TABLES
+from poplarspoke.generated.control import (
+    OrderPromotion,
+    PromotionAnswered,
+    RecordsWritten,
+    SetWatch,
+    TableLost,
+    TableRows,
+    WriteRecords,
+)
+
+
+class FakeStore:
+    """Counts calls; watches wait until rows or an error are given.
+
+    Attributes:
+        reads: Tables that were read as a whole.
+        watches: Versions that watches of the rules went on from.
+        failing: Whether calls fail.
+        compacted: Whether the next watch finds its history gone.
+    """
+
+    def __init__(self) -> None:
+        """Starts empty, at version 0."""
+        self.reads: list[str] = []
+        self.watches: list[int] = []
+        self.failing = False
+        self.compacted = False
+
+    async def __aenter__(self) -> Self:
+        """Returns the client."""
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        """Closes nothing."""
+
+    async def read_table(self, table: str, *, timeout_s: float) -> TableRows:
+        """Reads a table without rows."""
+        self._check()
+        self.reads.append(table)
+        return TableRows(table)
+
+    async def watch_table(
+        self, table: str, after: int, *, wait_s: float, timeout_s: float
+    ) -> TableRows | None:
+        """Waits for ever, unless the history is gone."""
+        self._check()
+        if table == RULES:
+            self.watches.append(after)
+            if self.compacted:
+                self.compacted = False
+                return None
+        await anyio.sleep_forever()
+        return None
+
+    async def write(
+        self, change: WriteRecords, *, timeout_s: float
+    ) -> RecordsWritten:
+        """Accepts a write."""
+        self._check()
+        return RecordsWritten(change.correlation, accepted=True, known=True)
+
+    async def promote(
+        self, order: OrderPromotion, *, timeout_s: float
+    ) -> PromotionAnswered:
+        """Accepts an order."""
+        self._check()
+        return PromotionAnswered(order.service, order.endpoint, 200)
+
+    def _check(self) -> None:
+        if self.failing:
+            raise errors.StoreError('the store is down')
+
+
+class Harness:
+    """Feeds over a fake store."""
+
+    def __init__(self) -> None:
+        """Creates the feeds."""
+        self.store = FakeStore()
+        self.posted: list[Any] = []
+        self.feeds = Feeds(
+            lambda: self.store,
+            post=self.post,
+            now_s=anyio.current_time,
+            rng=random.Random(1),
+        )
+
+    def post(self, message: Any) -> bool:
+        """Keeps what is posted."""
+        self.posted.append(message)
+        return True
+
+
+@pytest.fixture
+def harness() -> Harness:
+    """Returns feeds that have not started."""
+    return Harness()
+
+
+def test_empty_store_is_read_once(harness: Harness) -> None:
+    """A store at version 0 must not be read in a loop."""
+
+    async def follow() -> None:
+        async with harness.feeds:
+            await anyio.sleep(0.05)
+
+    anyio.run(follow)
+    assert sorted(harness.store.reads) == sorted(TABLES)
+
+
+def test_gone_history_is_read_anew(harness: Harness) -> None:
+    """Changes in the gap would be missed."""
+    harness.store.compacted = True
+
+    async def follow() -> None:
+        async with harness.feeds:
+            await anyio.sleep(0.05)
+
+    anyio.run(follow)
+    assert harness.store.reads.count(RULES) == 2
+
+
+def test_restarted_watch_goes_on(harness: Harness) -> None:
+    """A watch on a silent connection is replaced without a new read."""
+
+    async def follow() -> None:
+        async with harness.feeds:
+            await anyio.sleep(0.05)
+            harness.feeds.set_watch(SetWatch(RULES, 1))
+            await anyio.sleep(0.05)
+
+    anyio.run(follow)
+    assert harness.store.reads.count(RULES) == 1
+    assert harness.store.watches == [0, 0]
+
+
+def test_lost_answers_are_reported(harness: Harness) -> None:
+    """The control task must know that a write may have taken effect."""
+    harness.store.failing = True
+
+    async def follow() -> None:
+        async with harness.feeds:
+            harness.feeds.send_write(WriteRecords(7))
+            harness.feeds.send_order(OrderPromotion('s', 'm', 'h', 1))
+            await anyio.sleep(0.05)
+
+    anyio.run(follow)
+    lost = {
+        message.table
+        for message in harness.posted
+        if isinstance(message, TableLost)
+    }
+    assert lost == set(TABLES)
+    assert RecordsWritten(7) in harness.posted
+    assert PromotionAnswered('s', 'm') in harness.posted
