--- a/poplarspoke/relay/routing.py
+++ b/poplarspoke/relay/routing.py
@@ -87,7 +87,9 @@
     primary_cost = 1 if operation['needs_primary'] else PRIMARY_COST
     usable: list[tuple[float, str]] = []
     for name, endpoint in state['endpoints'].items():
-        if _is_left_out(endpoint, service, now_s):
+        if endpoint['entry'].service != service:
+            continue
+        if _is_left_out(state, endpoint, now_s):
             continue
         cost = _estimate_cost(state, operation, endpoint, now_s)
         if name == primary:
@@ -98,10 +100,24 @@
     return [entry[1] for entry in sorted(usable)]
 
 
-def _is_left_out(endpoint: Endpoint, service: str, now_s: float) -> bool:
-    if endpoint['entry'].service != service:
+def _is_left_out(
+    state: RelayState,
+    endpoint: Endpoint,
+    now_s: float,
+) -> bool:
+    """Returns whether an endpoint has failed and is not to be tried now.
+
+    One statement at a time tries an endpoint that does not answer; the others
+    would wait in vain with it.
+    """
+    if now_s < endpoint['avoid_until_s']:
         return True
-    return now_s < endpoint['avoid_until_s']
+    if not endpoint['silent_since_s']:
+        return False
+    return any(
+        state['connections'][number]['session']
+        for number in endpoint['connections']
+    )
 
 
 def _is_replica_usable(
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -141,6 +141,19 @@
     assert [answer.code for answer in answers] == [AnswerCode.BUSY]
 
 
+def test_silent_endpoint_is_tried_by_one_statement(
+    world: RelayWorld,
+) -> None:
+    """In a cut of a zone all statements would wait for its endpoints."""
+    for session in (1, 2):
+        world.start(session, 'primary')
+    world.forward(world.read(1))
+    world.tick(0.45)
+    assert not find(world.read(2), OpenConnection)
+    answers = find(world.tick(0.1), SendAnswer)
+    assert [answer.session for answer in answers] == [2]
+
+
 def test_old_silence_is_forgotten(world: RelayWorld) -> None:
     """A new primary must not be reported for a silence before its time."""
     endpoint = world.state['endpoints'][PRIMARY]
