--- a/poplarspoke/control/duty.py
+++ b/poplarspoke/control/duty.py
@@ -44,8 +44,9 @@
 ASKED_PEERS = 2
 # Hosts that want the duty wait up to so long more, so that one comes first.
 TAKE_SPREAD_S = 0.3
-# A change that makes no progress is reported after this time.
-STUCK_S = 2.0
+# A write of the duty that failed is repeated after this time; calls of a store
+# that is down are priced too.
+TAKE_AGAIN_S = 1.0
 # Time for the other hosts to say whether an endpoint answers them.
 REACH_S = 0.45
 # An answer this recent speaks against a silent endpoint; it is shorter than the
@@ -342,11 +343,9 @@
 
 
 def _take(state: ControlState, now_s: float) -> list[Any]:
-    if (
-        TakeDuty() in state['writes'].values()
-        or not state['tables'][RECORDS]['complete']
-    ):
+    if now_s < state['take_s'] or not state['tables'][RECORDS]['complete']:
         return []
+    state['take_s'] = now_s + TAKE_AGAIN_S
     duty = state['duty']
     record = DutyRecord(
         holder=state['settings'].name,
--- a/poplarspoke/control/state.py
+++ b/poplarspoke/control/state.py
@@ -199,6 +199,7 @@
         silent: Endpoints that do not answer this host, with the start.
         writes: What the pending writes are for, by their number.
         duty_wait_s: Until when a new holder orders nothing.
+        take_s: When the duty may be taken again after a try.
         holder_heard_s: When the holder of the duty last answered this host.
         removed_hosts: When the row of a host was seen to go.
         ask_s: When a reader is asked next.
@@ -226,6 +227,7 @@
     writes: dict[int, Purpose]
     next_write: int
     duty_wait_s: float
+    take_s: float
     holder_heard_s: float
     bootstrap_s: float
     register_s: float
@@ -267,6 +269,7 @@
         writes={},
         next_write=1,
         duty_wait_s=0,
+        take_s=0,
         holder_heard_s=0,
         bootstrap_s=0,
         register_s=0,
--- a/poplarspoke/relay/routing.py
+++ b/poplarspoke/relay/routing.py
@@ -86,9 +86,7 @@
     primary = find_primary(state, service, now_s)
     primary_cost = 1 if operation['needs_primary'] else PRIMARY_COST
     usable: list[tuple[float, str]] = []
-    for name, endpoint in state['endpoints'].items():
-        if endpoint['entry'].service != service:
-            continue
+    for name, endpoint in _list_endpoints(state, service).items():
         if _is_left_out(state, endpoint, now_s):
             continue
         cost = _estimate_cost(state, operation, endpoint, now_s)
@@ -100,6 +98,14 @@
     return [entry[1] for entry in sorted(usable)]
 
 
+def _list_endpoints(state: RelayState, service: str) -> dict[str, Endpoint]:
+    return {
+        name: endpoint
+        for name, endpoint in state['endpoints'].items()
+        if endpoint['entry'].service == service
+    }
+
+
 def _is_left_out(
     state: RelayState,
     endpoint: Endpoint,
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -13,6 +13,7 @@
     ShowView,
     TableRow,
     TableRows,
+    WriteRecords,
 )
 from poplarspoke.generated.relay import EndpointSilent, EndpointsKnown
 from poplarspoke.generated.rules import EndpointRole
@@ -164,6 +165,16 @@
     assert [order.token for order in world.orders] == [5]
 
 
+def test_duty_is_not_claimed_in_a_loop(world: ControlWorld) -> None:
+    """A store that is down must not be called at each tick."""
+    world.deaf.update(world.hosts)
+    for state in world.hosts.values():
+        state['endpoints']['m1'] = world.entries['m1']._replace(draining=True)
+    world.run(3)
+    claims = find(world.sent['h0'], WriteRecords)
+    assert 0 < len(claims) <= 5
+
+
 def test_tokens_only_grow(world: ControlWorld) -> None:
     """The platform must never see a lower token than before."""
     world.set_entry('m1', draining=True)
