--- a/poplarspoke/platform/__main__.py
+++ b/poplarspoke/platform/__main__.py
@@ -41,23 +41,8 @@
     log = logs.Log(stream, wall_s=time.time)
     return session_host.Surroundings(
         settings=settings,
-        codec=Codec(
-            decode_caller_line=statements.decode_caller_line,
-            encode_answer=statements.encode_answer,
-            encode_started=statements.encode_started,
-            encode_refusal=statements.encode_refusal,
-            encode_start=statements.encode_start,
-            encode_statement=statements.encode_statement,
-            create_reader=statements.AnswerReader,
-            error=statements.ProtocolError,
-            max_message_bytes=statements.MAX_MESSAGE_BYTES,
-        ),
-        query_codec=QueryCodec(
-            encode_start=statements.encode_start,
-            encode_query=statements.encode_state_query,
-            decode_state=statements.decode_state,
-            create_reader=statements.AnswerReader,
-        ),
+        codec=create_codec(),
+        query_codec=create_query_codec(),
         decoders=Decoders(rows.decode_rules, rows.decode_endpoint),
         connect=lambda: Metadata(
             settings.store_address,
@@ -72,5 +57,30 @@
     )
 
 
+def create_codec() -> Codec:
+    """Returns the translation of the session protocol."""
+    return Codec(
+        decode_caller_line=statements.decode_caller_line,
+        encode_answer=statements.encode_answer,
+        encode_started=statements.encode_started,
+        encode_refusal=statements.encode_refusal,
+        encode_start=statements.encode_start,
+        encode_statement=statements.encode_statement,
+        create_reader=statements.AnswerReader,
+        error=statements.ProtocolError,
+        max_message_bytes=statements.MAX_MESSAGE_BYTES,
+    )
+
+
+def create_query_codec() -> QueryCodec:
+    """Returns the translation of questions to endpoints."""
+    return QueryCodec(
+        encode_start=statements.encode_start,
+        encode_query=statements.encode_state_query,
+        decode_state=statements.decode_state,
+        create_reader=statements.AnswerReader,
+    )
+
+
 if __name__ == '__main__':
     sys.exit(main())
