Remove hosts that are gone from the waits of later changes

Change: the holder of the duty marks a host that did not answer; the mark takes its leases, a live host registers again, and the row is removed 10 s later. Failed first: test_host_that_is_gone_is_waited_for_once.

--- a/poplarspoke/control/decisions.py
+++ b/poplarspoke/control/decisions.py
@@ -3,7 +3,14 @@
 import functools
 from typing import Any
 
-from poplarspoke.control import confirmation, duty, handover, records, tables
+from poplarspoke.control import (
+    confirmation,
+    duty,
+    handover,
+    records,
+    retirement,
+    tables,
+)
 from poplarspoke.control.state import (
     ENDPOINTS,
     RECORDS,
@@ -14,6 +21,7 @@
     LeaveDuty,
     NamePrimaries,
     RegisterHost,
+    RetireHost,
     TakeDuty,
 )
 from poplarspoke.generated.common import Tick
@@ -100,6 +108,7 @@
     outgoing.extend(_ask_views(state, now_s))
     outgoing.extend(_register(state, now_s))
     outgoing.extend(_name_primaries(state, now_s))
+    outgoing.extend(retirement.check(state, now_s))
     outgoing.extend(duty.check(state, now_s))
     for change in list(state['changes'].values()):
         outgoing.extend(
@@ -233,7 +242,7 @@
 
 @take_write.register
 def _(
-    purpose: TakeDuty | LeaveDuty | RegisterHost | NamePrimaries,
+    purpose: TakeDuty | LeaveDuty | RegisterHost | RetireHost | NamePrimaries,
     state: ControlState,
     written: RecordsWritten,
     now_s: float,
@@ -252,7 +261,8 @@
         return []
     address = f'{settings.ip}:{settings.peer_port}'
     known = state['hosts'].get(settings.name)
-    if known is not None and known.address == address:
+    same = known is not None and known.address == address
+    if known is not None and same and not known.retired:
         return []
     if now_s < state['register_s']:
         return []
--- a/poplarspoke/control/handover.py
+++ b/poplarspoke/control/handover.py
@@ -119,7 +119,7 @@
     # An earlier holder may have claimed the change before.
     since_s = state['changing_since_s'].get(change['service'], now_s)
     ended_s = min(change['claimed_s'], since_s) + LEASE_S + LEASE_MARGIN_S
-    missing = _list_holders(state, now_s) - change['released']
+    missing = set(state['hosts']) - change['released']
     own = state['settings'].name
     if own in missing:
         change['released'].add(own)
@@ -128,6 +128,7 @@
         revoked = ToTask(RELAY, LeaseRevoked(change['service']))
         return [revoked, *advance(step, state, change, now_s)]
     if not missing or now_s >= ended_s:
+        state['unanswered'].update(missing)
         line = _log(
             change,
             'primary released',
@@ -198,6 +199,7 @@
     if change is None or change['number'] != message.change:
         return []
     change['released'].add(message.sender)
+    state['unanswered'].discard(message.sender)
     return advance(change['step'], state, change, now_s)
 
 
@@ -385,15 +387,6 @@
     )
 
 
-def _list_holders(state: ControlState, now_s: float) -> set[str]:
-    """Returns hosts that may hold a lease, also those just removed."""
-    holders = set(state['hosts'])
-    for name, removed_s in state['removed_hosts'].items():
-        if now_s - removed_s < LEASE_S + LEASE_MARGIN_S:
-            holders.add(name)
-    return holders
-
-
 def _query_all(state: ControlState, change: Change) -> list[Any]:
     outgoing: list[Any] = []
     for name, entry in state['endpoints'].items():
--- a/poplarspoke/control/state.py
+++ b/poplarspoke/control/state.py
@@ -120,6 +120,12 @@
     """A write that registers this host."""
 
 
+class RetireHost(NamedTuple):
+    """A write that marks or removes a host that does not answer."""
+
+    host: str
+
+
 class NamePrimaries(NamedTuple):
     """A write of the first primaries."""
 
@@ -131,7 +137,12 @@
 
 
 Purpose: TypeAlias = (
-    TakeDuty | LeaveDuty | RegisterHost | NamePrimaries | AdvanceChange
+    TakeDuty
+    | LeaveDuty
+    | RegisterHost
+    | RetireHost
+    | NamePrimaries
+    | AdvanceChange
 )
 
 
@@ -201,7 +212,9 @@
         duty_wait_s: Until when a new holder orders nothing.
         take_s: When the duty may be taken again after a try.
         holder_heard_s: When the holder of the duty last answered this host.
-        removed_hosts: When the row of a host was seen to go.
+        unanswered: Hosts that a change of primary has waited for in vain.
+        retired_since_s: When a host was first seen to be marked.
+        retire_s: When hosts are marked or removed next.
         ask_s: When a reader is asked next.
         watch_s: How long this host's watches of the records last.
         behind_since_s: When a peer was first seen to have newer rows.
@@ -237,7 +250,9 @@
     behind_since_s: dict[str, float]
     leaving: bool
     ready: bool
-    removed_hosts: dict[str, float]
+    unanswered: set[str]
+    retired_since_s: dict[str, float]
+    retire_s: float
 
 
 def create_state(
@@ -279,7 +294,9 @@
         behind_since_s={},
         leaving=False,
         ready=False,
-        removed_hosts={},
+        unanswered=set(),
+        retired_since_s={},
+        retire_s=0,
     )
 
 
--- a/poplarspoke/control/tables.py
+++ b/poplarspoke/control/tables.py
@@ -83,10 +83,10 @@
     settings = state['settings']
     until_s = state['tables'][RECORDS]['confirmed_s'] + LEASE_S
     leases: list[PrimaryLease] = []
-    for service, known in state['primaries'].items():
+    own = state['hosts'].get(settings.name)
+    usable = state['primaries'] if own and not own.retired else {}
+    for service, known in usable.items():
         record = known.record
-        if settings.name not in state['hosts']:
-            break
         if record.phase is not PrimaryPhase.STABLE:
             continue
         if record.change < state['released'].get(service, 0):
@@ -232,12 +232,7 @@
 ) -> list[Any]:
     if row.key.startswith(HOST_PREFIX):
         name = row.key.removeprefix(HOST_PREFIX)
-        state['hosts'].pop(name, None)
-        if row.removed:
-            state['removed_hosts'][name] = now_s
-            return []
-        state['removed_hosts'].pop(name, None)
-        state['hosts'][name] = codec.parse(HostRecord, _load(row))
+        _apply_host(state, name, row, now_s)
         return []
     if row.key == DUTY_KEY:
         _apply_duty(state, row, now_s)
@@ -262,6 +257,24 @@
     return [line]
 
 
+def _apply_host(
+    state: ControlState,
+    name: str,
+    row: TableRow,
+    now_s: float,
+) -> None:
+    state['hosts'].pop(name, None)
+    if row.removed:
+        state['retired_since_s'].pop(name, None)
+        return
+    record = codec.parse(HostRecord, _load(row))
+    state['hosts'][name] = record
+    if record.retired:
+        state['retired_since_s'].setdefault(name, now_s)
+    else:
+        state['retired_since_s'].pop(name, None)
+
+
 def _apply_duty(state: ControlState, row: TableRow, now_s: float) -> None:
     record = codec.parse(DutyRecord, _load(row))
     if record.token != state['duty'].record.token:
@@ -279,11 +292,13 @@
 
 def _list_hosts(state: ControlState) -> list[Any]:
     own = state['settings'].name
-    peers = tuple(sorted(name for name in state['hosts'] if name != own))
-    records = tuple(state['hosts'][name] for name in peers)
+    peers = [
+        record for name, record in sorted(state['hosts'].items()) if name != own
+    ]
+    live = tuple(record.name for record in peers if not record.retired)
     return [
-        ToTask(RELAY, HostsKnown(len(state['hosts']), peers)),
-        ToTask('links', PeerAddresses(records)),
+        ToTask(RELAY, HostsKnown(len(live) + 1, live)),
+        ToTask('links', PeerAddresses(tuple(peers))),
     ]
 
 
--- a/poplarspoke/control/views.py
+++ b/poplarspoke/control/views.py
@@ -10,8 +10,8 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from poplarspoke import errors, web
 from poplarspoke import codec as message_codec
+from poplarspoke import errors, web
 from poplarspoke.generated.control import (
     PeerView,
     ShowView,
--- a/poplarspoke/schema/control.capnp
+++ b/poplarspoke/schema/control.capnp
@@ -18,6 +18,7 @@
   address @2 :Text;  # IP:port of its peer link.
   controlAddress @3 :Text;  # IP:port for its view.
   incarnation @4 :UInt64;  # Start of the process, ms since 1970.
+  retired @5 :Bool;  # Did not answer; holds no lease until it registers again.
 }
 
 struct PeerAddresses {
--- a/tests/control_world.py
+++ b/tests/control_world.py
@@ -236,7 +236,7 @@
         written_rows = [write for write in change.writes if not write.unchanged]
         for write in written_rows:
             self.rows[write.key] = TableRow(
-                write.key, self.version, content=write.content
+                write.key, self.version, write.removed, write.content
             )
         written = RecordsWritten(
             change.correlation,
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -1,8 +1,10 @@
 """Leases and changes of primary between hosts."""
 
+import json
+
 import pytest
 
-from poplarspoke.control import handover, tables
+from poplarspoke.control import handover, retirement, tables
 from poplarspoke.control.state import RECORDS, RULES
 from poplarspoke.generated.common import Position
 from poplarspoke.generated.control import (
@@ -116,6 +118,46 @@
     assert world.record(PRIMARY_KEY)['endpoint'] == 'm2'
 
 
+def test_host_that_is_gone_is_waited_for_once(world: ControlWorld) -> None:
+    """Each later change would wait out a lease that nobody holds."""
+    world.hosts.pop('h2')
+    world.set_entry('m1', draining=True)
+    world.run(tables.LEASE_S + 4)
+    assert world.record(PRIMARY_KEY)['endpoint'] == 'm2'
+    world.run(retirement.REMOVE_S + 3)
+    assert world.rows['host/h2'].removed
+    world.set_entry('m2', draining=True)
+    world.run(5)
+    assert world.record(PRIMARY_KEY)['endpoint'] == 'm3'
+
+
+def test_retired_host_that_lives_registers_again(world: ControlWorld) -> None:
+    """A cut that heals must not leave a host without leases."""
+    world.silent.add('h2')
+    world.deaf.add('h2')
+    world.set_entry('m1', draining=True)
+    world.run(tables.LEASE_S + 4)
+    assert world.record('host/h2')['retired']
+    world.silent.clear()
+    world.deaf.clear()
+    world.run(1)
+    assert not world.record('host/h2')['retired']
+    assert world.lease('h2') == 'm2'
+
+
+def test_retired_host_holds_no_lease(world: ControlWorld) -> None:
+    """Its row may be removed, and then no change asks it."""
+    record = world.record('host/h2') | {'retired': True}
+    state = world.hosts['h2']
+    state['register_s'] = world.now_s + 9
+    world.version += 1
+    world.rows['host/h2'] = TableRow(
+        'host/h2', world.version, content=json.dumps(record)
+    )
+    world.run(0.3)
+    assert not world.lease('h2')
+
+
 def test_no_host_holds_a_lease_while_another_endpoint_is_promoted(
     world: ControlWorld,
 ) -> None:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -1,7 +1,6 @@
 """Statements on their way through the relay."""
 
 import pytest
-from tests.relay_world import PRIMARY, REPLICAS, SERVICE, RelayWorld, find
 
 from poplarspoke.generated.common import Position
 from poplarspoke.generated.rates import BorrowTokens, LendTokens
@@ -12,8 +11,8 @@
     CommitTransaction,
     EndpointLost,
     EndSession,
-    HostsKnown,
     ExecutePrepared,
+    HostsKnown,
     LeaseRevoked,
     LeasesRenewed,
     OpenConnection,
@@ -31,6 +30,7 @@
 from poplarspoke.relay import quotas, upkeep
 from poplarspoke.relay.messages import Forward
 from poplarspoke.tasks import ToHost
+from tests.relay_world import PRIMARY, REPLICAS, SERVICE, RelayWorld, find
 
 
 @pytest.fixture
