--- a/poplarspoke/control/decisions.py
+++ b/poplarspoke/control/decisions.py
@@ -45,7 +45,6 @@
     ViewNeeded,
 )
 from poplarspoke.generated.relay import (
-    EndpointHeard,
     EndpointSilent,
     LeaseRevoked,
     LogDecision,
@@ -140,12 +139,6 @@
     return []
 
 
-@decide.register
-def _(message: EndpointHeard, state: ControlState, now_s: float) -> list[Any]:
-    state['silent'].pop(message.endpoint, None)
-    return []
-
-
 @decide.register
 def _(message: ReportPrimary, state: ControlState, now_s: float) -> list[Any]:
     return duty.take_report(state, message, now_s)
--- a/poplarspoke/control/state.py
+++ b/poplarspoke/control/state.py
@@ -21,6 +21,7 @@
 ENDPOINTS = 'endpoints'
 RECORDS = 'records'
 TABLES = (RULES, ENDPOINTS, RECORDS)
+# Keys of the operators' table.
 RULES_KEY = 'config'
 EVACUATION_PREFIX = 'evacuate/'
 
--- a/poplarspoke/platform/rows.py
+++ b/poplarspoke/platform/rows.py
@@ -19,8 +19,6 @@
 )
 
 RULES_TABLE = 'op'
-RULES_KEY = 'config'
-EVACUATION_PREFIX = 'evacuate/'
 ENDPOINTS_TABLE = 'servers'
 MS_PER_S = 1000
 KINDS = {
--- a/poplarspoke/schema/relay.capnp
+++ b/poplarspoke/schema/relay.capnp
@@ -221,11 +221,6 @@
   sinceS @2 :Float64;  # Boot clock; start of the silence.
 }
 
-struct EndpointHeard {
-  # A silent endpoint has answered again.
-  endpoint @0 :Text;
-}
-
 struct ReleaseIdle {
   # Asks the other hosts for unused connections to an endpoint.
   sender @0 :Text;
--- a/poplarspoke/schema/rules.capnp
+++ b/poplarspoke/schema/rules.capnp
@@ -73,8 +73,7 @@
   dutyAddress @8 :Text;  # Where changes of primary are ordered.
   graceS @9 :Float64;  # From SIGTERM to SIGKILL.
   drainS @10 :Float64;  # An endpoint that leaves gets no new work after it.
-  quotaWindowS @11 :Float64;
-  quotaExcess @12 :Float64;  # Tolerated excess, fraction of rate and burst.
-  quotaSlack @13 :Float64;  # Tolerated excess in operations.
-  seeds @14 :List(Text);  # Control addresses of some hosts, maybe stale.
+  quotaExcess @11 :Float64;  # Tolerated excess, fraction of rate and burst.
+  quotaSlack @12 :Float64;  # Tolerated excess in operations.
+  seeds @13 :List(Text);  # Control addresses of some hosts, maybe stale.
 }
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -51,7 +51,6 @@
     'bounds': {
         'graceS': 6,
         'drainMs': 7000,
-        'quotaWindowS': 5,
         'quotaOver': 0.1,
         'quotaSlack': 20,
     },
