--- a/Makefile
+++ b/Makefile
@@ -36,6 +36,7 @@
 	$(BIN)/python -m bench
 
 soak: install
+	$(BIN)/python -m tests.session_soak $(SEED) 3 20
 	SOAK=1 SEED=$(SEED) $(BIN)/python -m pytest tests/soak.py
 
 clean:
