Keep observations only of statements that were sent under the lease

A statement that was sent to a replica before its promotion may be answered after it, with the position that the replica had applied, while it had received more. Found by reading; not seen in a run. Failed first: test_observation_from_before_the_lease_is_not_kept.

--- a/poplarspoke/relay/answers.py
+++ b/poplarspoke/relay/answers.py
@@ -118,6 +118,10 @@
     lease = routing.find_lease(state, service, now_s)
     if lease is None or lease.endpoint != connection['endpoint']:
         return
+    # A question from before the lease may have been answered by a replica that
+    # had not applied all that it had received when it was promoted.
+    if connection['sent_s'] < state['leased_since_s'].get(service, 0):
+        return
     if reply.position.term and reply.code is AnswerCode.DONE:
         freshness.observe(state, service, connection['sent_s'], reply.position)
 
--- a/poplarspoke/relay/decisions.py
+++ b/poplarspoke/relay/decisions.py
@@ -239,6 +239,7 @@
     for service, lease in state['leases'].items():
         known = before.get(service)
         if known is None or known.endpoint != lease.endpoint:
+            state['leased_since_s'][service] = now_s
             outgoing.extend(operations.place_waiting(state, service, now_s))
     return outgoing
 
--- a/poplarspoke/relay/state.py
+++ b/poplarspoke/relay/state.py
@@ -207,6 +207,8 @@
     """State of the relay of one host.
 
     Attributes:
+        leased_since_s: When this host first had its lease on the primary that
+            a service has now.
         expected: When a new primary of a service was first known to have
             been ordered.
     """
@@ -227,6 +229,7 @@
     hosts: int
     peers: tuple[str, ...]
     leases: dict[str, PrimaryLease]
+    leased_since_s: dict[str, float]
     expected: dict[str, float]
     endpoints: dict[str, Endpoint]
     observations: dict[str, deque[Observation]]
@@ -261,6 +264,7 @@
         hosts=0,
         peers=(),
         leases={},
+        leased_since_s={},
         expected={},
         endpoints={},
         observations={},
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -85,6 +85,21 @@
     assert not world.state['observations'].get(SERVICE)
 
 
+def test_observation_from_before_the_lease_is_not_kept(
+    world: RelayWorld,
+) -> None:
+    """A replica answers before it has applied all that it received."""
+    world.observe(Position(3, 7))
+    world.now_s += 0.1
+    world.start(1, 'bounded')
+    forward = world.forward(world.read(1))
+    world.now_s += 0.1
+    world.lease(world.locate(forward))
+    before = list(world.state['observations'][SERVICE])
+    world.reply(forward, position=Position(3, 8))
+    assert list(world.state['observations'][SERVICE]) == before
+
+
 def test_own_write_is_read(world: RelayWorld) -> None:
     """A session must read its write, also from a replica later."""
     world.observe(Position(3, 7))
