Leave an evacuated zone within its own bound; pin what a daemon needs

The bound of an evacuation (5 s here) is shorter than that of a drain (7 s), which was used for both. Failed first: test_primary_in_an_evacuated_zone_is_left_earlier.

--- a/poplarspoke/platform/boot.py
+++ b/poplarspoke/platform/boot.py
@@ -67,6 +67,7 @@
         duty_address=fields['cloud']['address'],
         grace_s=float(bounds['graceS']),
         drain_s=bounds['drainMs'] / MS_PER_S,
+        evacuate_s=bounds['evacuateMs'] / MS_PER_S,
         quota_excess=float(bounds['quotaOver']),
         quota_slack=float(bounds['quotaSlack']),
     )
--- a/poplarspoke/relay/decisions.py
+++ b/poplarspoke/relay/decisions.py
@@ -210,7 +210,11 @@
         if endpoint is None:
             endpoint = create_endpoint(entry)
             state['endpoints'][name] = endpoint
-        leaves = entry.draining or entry.zone in message.evacuated
+        evacuated = entry.zone in message.evacuated
+        endpoint['leave_within_s'] = state['settings'].drain_s
+        if evacuated:
+            endpoint['leave_within_s'] = state['settings'].evacuate_s
+        leaves = entry.draining or evacuated
         if not leaves:
             endpoint['leaving_since_s'] = 0
         elif not endpoint['leaving_since_s']:
--- a/poplarspoke/relay/routing.py
+++ b/poplarspoke/relay/routing.py
@@ -47,7 +47,7 @@
     if endpoint is None:
         return ''
     leaving_s = endpoint['leaving_since_s']
-    limit_s = state['settings'].drain_s - LEAVE_MARGIN_S
+    limit_s = endpoint['leave_within_s'] - LEAVE_MARGIN_S
     if leaving_s and now_s - leaving_s > limit_s:
         return ''
     return lease.endpoint
--- a/poplarspoke/relay/state.py
+++ b/poplarspoke/relay/state.py
@@ -188,6 +188,7 @@
         behind_until_s: Until when its log is taken to lag too far.
         full_until_s: Until when no further connection is tried.
         leaving_since_s: When it was first known to leave; 0 if it does not.
+        leave_within_s: Time after which it gets no new work.
     """
 
     entry: EndpointEntry
@@ -201,6 +202,7 @@
     behind_until_s: float
     full_until_s: float
     leaving_since_s: float
+    leave_within_s: float
 
 
 class RelayState(TypedDict):
@@ -312,4 +314,5 @@
         behind_until_s=0,
         full_until_s=0,
         leaving_since_s=0,
+        leave_within_s=0,
     )
--- a/poplarspoke/schema/rules.capnp
+++ b/poplarspoke/schema/rules.capnp
@@ -75,5 +75,6 @@
   drainS @10 :Float64;  # An endpoint that leaves gets no new work after it.
   quotaExcess @11 :Float64;  # Tolerated excess, fraction of rate and burst.
   quotaSlack @12 :Float64;  # Tolerated excess in operations.
+  evacuateS @14 :Float64;  # A zone that is taken out gets no work after it.
   seeds @13 :List(Text);  # Control addresses of some hosts, maybe stale.
 }
--- a/tests/relay_world.py
+++ b/tests/relay_world.py
@@ -81,7 +81,9 @@
         self.now_s = float(100)
         self.sent: list[Any] = []
         self._requests = 0
-        settings = HostSettings(name='a', zone='z1', grace_s=6, drain_s=7)
+        settings = HostSettings(
+            name='a', zone='z1', grace_s=6, drain_s=7, evacuate_s=5
+        )
         self.state = create_state(settings, rng=random.Random(7), incarnation=1)
         peers = tuple(f'peer-{number}' for number in range(hosts - 1))
         self.post(HostsKnown(hosts, peers))
@@ -105,7 +107,12 @@
             outgoing.extend(self.post(Tick()))
         return outgoing
 
-    def set_endpoints(self, *, draining: tuple[str, ...] = ()) -> None:
+    def set_endpoints(
+        self,
+        *,
+        draining: tuple[str, ...] = (),
+        evacuated: tuple[str, ...] = (),
+    ) -> None:
         """Tells the relay about one primary and two replicas."""
         entries: list[EndpointEntry] = []
         for number, name in enumerate((PRIMARY, *REPLICAS)):
@@ -120,7 +127,7 @@
                     role=EndpointRole(int(name == PRIMARY)),
                 ),
             )
-        self.post(EndpointsKnown(tuple(entries)))
+        self.post(EndpointsKnown(tuple(entries), evacuated))
 
     def settle_bucket(self) -> float:
         """Returns the tokens that the workspace has now."""
--- a/tests/session_soak.py
+++ b/tests/session_soak.py
@@ -222,6 +222,7 @@
             'bounds': {
                 'graceS': 6,
                 'drainMs': 7000,
+                'evacuateMs': 5000,
                 'quotaOver': 0.1,
                 'quotaSlack': 20,
             },
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -51,6 +51,7 @@
     'bounds': {
         'graceS': 6,
         'drainMs': 7000,
+        'evacuateMs': 5000,
         'quotaOver': 0.1,
         'quotaSlack': 20,
     },
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -410,6 +410,18 @@
     assert not find(world.write(1), Forward)
 
 
+def test_primary_in_an_evacuated_zone_is_left_earlier(
+    world: RelayWorld,
+) -> None:
+    """The bound of an evacuation is shorter than that of a drain."""
+    world.set_endpoints(evacuated=('z1',))
+    world.start(1, 'primary')
+    world.reply(world.forward(world.write(1)))
+    world.now_s += 3.6
+    world.lease(PRIMARY)
+    assert not find(world.write(1), Forward)
+
+
 def test_rate_is_shared_between_hosts() -> None:
     """All hosts together must stay within the rate of a workspace."""
     world = RelayWorld(rate=8, hosts=4)
--- a/tests/test_session_host.py
+++ b/tests/test_session_host.py
@@ -170,6 +170,7 @@
             duty_address=self.store.address,
             grace_s=6,
             drain_s=7,
+            evacuate_s=5,
             quota_excess=0.1,
             quota_slack=20,
         )
