Judge the lease when a statement is sent, not only when it is placed

Cause, found by reading: a statement that waited for a new connection or for its setup was sent although the lease on the primary had ended meanwhile, so a read could run on the log of a superseded primary. A statement that may not run any more is placed again. Ruled out: statements inside an open transaction; their reads count from its start, and writes and commits were checked already. Failed first: test_statement_is_not_sent_after_the_lease (both routes).

--- a/poplarspoke/relay/operations.py
+++ b/poplarspoke/relay/operations.py
@@ -256,17 +256,37 @@
     if operation['steps']:
         statement = operation['steps'][0]
         prepared = _find_step_alias(statement)
-    else:
+    elif in_transaction or _may_run(state, operation, connection, now_s):
         operation['sent_s'] = now_s
         after = _find_after(state, operation, connection, now_s)
         if _find_step_alias(statement):
             prepared = statement
+    else:
+        pool.release(state, connection['connection'], now_s)
+        operation['connection'] = NO_CONNECTION
+        return place(state, operation, now_s)
     connection['in_flight'] = statement
     connection['sent_s'] = now_s
     alias = pool.name_alias(prepared) if prepared else ''
     return [Forward(connection['connection'], statement, after, alias)]
 
 
+def _may_run(
+    state: RelayState,
+    operation: Operation,
+    connection: Connection,
+    now_s: float,
+) -> bool:
+    """Returns whether the endpoint may still run what was assigned to it.
+
+    The lease on the primary may have ended while the connection was opened.
+    """
+    service = operation['route'].service
+    if connection['endpoint'] == routing.find_primary(state, service, now_s):
+        return True
+    return not operation['needs_primary'] and operation['after'].term > 0
+
+
 @functools.singledispatch
 def _find_step_alias(statement: Any) -> PrepareStatement | None:
     return None
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -133,6 +133,23 @@
     assert 'retry-after-ms=' in answers[0].detail
 
 
+@pytest.mark.parametrize('database', ['primary', 'bounded'])
+def test_statement_is_not_sent_after_the_lease(
+    world: RelayWorld,
+    database: str,
+) -> None:
+    """A lease that ends while a connection opens must stop the read.
+
+    The old primary may lack what the new one has acknowledged by then.
+    """
+    world.start(1, database)
+    opening = world.read(1)
+    world.post(LeaseRevoked(SERVICE))
+    assert not find(world.connect(opening), Forward)
+    outgoing = world.lease(REPLICAS[0])
+    assert world.locate(world.forward(outgoing)) == REPLICAS[0]
+
+
 def test_write_waits_for_an_ordered_promotion(world: RelayWorld) -> None:
     """A caller has few retries; the new primary leads within a second."""
     world.start(1, 'primary')
