Let a few hosts of each zone watch the store for the others

Change: three readers in each zone watch the tables and tell the hosts of their zone what has changed; these fetch the rows from them. A host that nobody confirms watches the store itself. Failed calls become rarer. Ruled out: longer watches, since changes end them.

--- a/poplarspoke/control/confirmation.py
+++ b/poplarspoke/control/confirmation.py
@@ -1,8 +1,9 @@
 """Confirms what this host has read of the store through other hosts.
 
-A few hosts, the readers, watch the records in short turns; the others watch
-them in long ones and ask a reader whether their newest row is still the newest.
-So the calls of the store do not grow with the number of hosts. The answers also
+A few hosts of each zone, the readers, watch the tables of the store. They tell
+the other hosts of their zone which tables have changed; these fetch the changed
+rows from them, and ask a reader now and then whether they have missed any. So
+the calls of the store do not grow with the number of hosts. The answers also
 show a watch whose connection has gone silent.
 """
 
@@ -11,30 +12,47 @@
 import xxhash
 
 from poplarspoke.control import tables
-from poplarspoke.control.state import RECORDS, TABLES, ControlState
-from poplarspoke.generated.control import AskConfirmed, Confirmed, SetWatch
+from poplarspoke.control.state import (
+    NO_WATCH_S,
+    RECORDS,
+    TABLES,
+    WATCHES_S,
+    ControlState,
+)
+from poplarspoke.generated.control import (
+    AskConfirmed,
+    Confirmed,
+    RowsChanged,
+    SetWatch,
+    ShowView,
+    ViewNeeded,
+)
 from poplarspoke.generated.relay import LogDecision
 from poplarspoke.tasks import ToHost, ToTask
 
-# Hosts that watch the records in short turns; one of them answers in every
-# zone that is left, with enough of them.
+# In a small fleet all hosts are readers.
 READERS = 8
-SHORT_WATCH_S = 2.0
-LONG_WATCH_S = 20.0
+# In a larger one, so many in each zone: one may be down, another be refused by
+# the store.
+ZONE_READERS = 3
 # Another host is asked when the last confirmation is older than this.
 ASK_S = 1.5
 ASK_AGAIN_S = 0.4
-# Without a confirmation this host watches in short turns itself.
+# Without a confirmation this host watches the store itself.
 OVERDUE_S = 3.0
+# It goes on for so long, so that it does not stop and start with each answer.
+WATCH_KEPT_S = 10.0
 # A watch that is behind a peer's for so long has lost its connection.
 BEHIND_S = 0.6
+# Changed rows are asked for again after this time; a peer answers in 10 ms.
+FETCH_AGAIN_S = 0.2
 
 
 def check(state: ControlState, now_s: float) -> list[Any]:
-    """Asks a reader, and sets the length of this host's own watch."""
+    """Asks a reader, and sets the length of this host's own watches."""
     if not state['tables'][RECORDS]['complete']:
         return []
-    outgoing = _set_watch(state, now_s)
+    outgoing = _set_watches(state, now_s)
     if now_s < state['ask_s']:
         return outgoing
     own = state['settings'].name
@@ -50,12 +68,11 @@
 
 def answer(state: ControlState, message: AskConfirmed, now_s: float) -> ToHost:
     """Returns what this host has read of the store."""
-    versions = [_find_version(state, table) for table in TABLES]
     confirmed = Confirmed(
         state['settings'].name,
         message.asked_s,
         _age(state, now_s),
-        *versions,
+        *list_newest(state),
     )
     return ToHost(message.sender, confirmed)
 
@@ -64,18 +81,10 @@
     """Renews the leases if the peer knows of nothing newer."""
     outgoing: list[Any] = []
     theirs = (message.rules, message.endpoints, message.records)
-    for table, version in zip(TABLES, theirs, strict=True):
-        if version <= _find_version(state, table):
-            state['behind_since_s'].pop(table, None)
-            continue
-        since_s = state['behind_since_s'].setdefault(table, now_s)
-        if now_s - since_s < BEHIND_S:
-            continue
-        state['behind_since_s'].pop(table)
-        outgoing.extend(_restart(state, table, now_s - since_s))
-    if message.records != _find_version(state, RECORDS):
-        return outgoing
+    outgoing.extend(_catch_up(state, message.sender, theirs, now_s))
     records = state['tables'][RECORDS]
+    if message.records > records['version']:
+        return outgoing
     confirmed_s = message.asked_s - message.age_s
     if confirmed_s <= records['confirmed_s']:
         return outgoing
@@ -83,32 +92,111 @@
     return [*outgoing, tables.list_leases(state)]
 
 
-def _set_watch(state: ControlState, now_s: float) -> list[Any]:
+def take_news(
+    state: ControlState,
+    message: RowsChanged,
+    now_s: float,
+) -> list[Any]:
+    """Fetches rows that a reader has seen change."""
+    theirs = (message.rules, message.endpoints, message.records)
+    return _catch_up(state, message.sender, theirs, now_s)
+
+
+def tell_news(state: ControlState, before: tuple[int, ...]) -> list[Any]:
+    """Tells the hosts of this zone that do not watch the store of changes.
+
+    Args:
+        state: State of the control task.
+        before: What ``list_versions`` returned before the change.
+    """
+    newest = list_newest(state)
+    readers = _list_readers(state)
     own = state['settings'].name
-    wait_s = LONG_WATCH_S
-    if own in _list_readers(state) or _age(state, now_s) > OVERDUE_S:
-        wait_s = SHORT_WATCH_S
-    if wait_s == state['watch_s']:
+    if newest == before or own not in readers:
         return []
-    state['watch_s'] = wait_s
-    return [ToTask('feeds', SetWatch(RECORDS, wait_s))]
+    news = RowsChanged(own, *newest)
+    zone = state['settings'].zone
+    return [
+        ToHost(name, news)
+        for name, host in state['hosts'].items()
+        if host.zone == zone and name not in readers
+    ]
+
+
+def _catch_up(
+    state: ControlState,
+    sender: str,
+    theirs: tuple[int, ...],
+    now_s: float,
+) -> list[Any]:
+    """Gets rows that a peer has and this host lacks."""
+    outgoing: list[Any] = []
+    fetch = False
+    for table, version in zip(TABLES, theirs, strict=True):
+        if version <= state['tables'][table]['version']:
+            state['behind_since_s'].pop(table, None)
+            continue
+        since_s = state['behind_since_s'].setdefault(table, now_s)
+        if not state['watches_s'][table]:
+            fetch = True
+        elif now_s - since_s >= BEHIND_S:
+            state['behind_since_s'].pop(table)
+            outgoing.extend(_restart(state, table, now_s - since_s))
+    if fetch and now_s >= state['fetch_s']:
+        outgoing.extend(_fetch(state, sender, now_s))
+    return outgoing
+
+
+def _fetch(state: ControlState, sender: str, now_s: float) -> list[Any]:
+    host = state['hosts'].get(sender)
+    if host is None:
+        return []
+    state['fetch_s'] = now_s + FETCH_AGAIN_S
+    versions = [state['tables'][name]['version'] for name in TABLES]
+    needed = ViewNeeded((host.control_address,), ShowView('', *versions))
+    return [ToTask('views', needed)]
+
+
+def _set_watches(state: ControlState, now_s: float) -> list[Any]:
+    own = state['settings'].name
+    if _age(state, now_s) > OVERDUE_S:
+        state['watch_until_s'] = now_s + WATCH_KEPT_S
+    watches = own in _list_readers(state) or now_s < state['watch_until_s']
+    outgoing: list[Any] = []
+    for table, reader_s in WATCHES_S.items():
+        wait_s = reader_s if watches else NO_WATCH_S
+        complete = state['tables'][table]['complete']
+        if not complete or wait_s == state['watches_s'][table]:
+            continue
+        state['watches_s'][table] = wait_s
+        outgoing.append(ToTask('feeds', SetWatch(table, wait_s)))
+    return outgoing
 
 
 def _list_readers(state: ControlState) -> list[str]:
-    names = list(state['hosts'])
+    names = [name for name, host in state['hosts'].items() if not host.retired]
     if len(names) <= READERS:
         return names
     names.sort(key=xxhash.xxh64_intdigest)
-    return names[:READERS]
-
-
-def _find_version(state: ControlState, table: str) -> int:
-    versions = [
-        row.version
-        for row in state['tables'][table]['rows'].values()
-        if not row.removed
-    ]
-    return max(versions, default=0)
+    counts: dict[str, int] = {}
+    readers: list[str] = []
+    for name in names:
+        zone = state['hosts'][name].zone
+        counts[zone] = counts.get(zone, 0) + 1
+        if counts[zone] <= ZONE_READERS:
+            readers.append(name)
+    return readers
+
+
+def list_newest(state: ControlState) -> tuple[int, ...]:
+    """Returns the version of the newest change of each table."""
+    return tuple(
+        max(
+            (row.version for row in state['tables'][table]['rows'].values()),
+            default=0,
+        )
+        for table in TABLES
+    )
 
 
 def _age(state: ControlState, now_s: float) -> float:
@@ -122,5 +210,5 @@
         reason='a peer has newer rows',
         age_s=behind_s,
     )
-    wait_s = state['watch_s'] if table == RECORDS else LONG_WATCH_S
+    wait_s = state['watches_s'][table]
     return [line, ToTask('feeds', SetWatch(table, wait_s))]
--- a/poplarspoke/control/decisions.py
+++ b/poplarspoke/control/decisions.py
@@ -39,6 +39,7 @@
     Released,
     ReportHeard,
     ReportPrimary,
+    RowsChanged,
     ShowView,
     TableLost,
     TableRows,
@@ -75,7 +76,9 @@
 
 @decide.register
 def _(message: TableRows, state: ControlState, now_s: float) -> list[Any]:
+    before = confirmation.list_newest(state)
     outgoing = tables.apply_rows(state, message, now_s)
+    outgoing.extend(confirmation.tell_news(state, before))
     outgoing.extend(duty.drop_changes(state, now_s))
     for change in list(state['changes'].values()):
         outgoing.extend(
@@ -103,12 +106,16 @@
     for endpoint, heard_s in list(state['silent'].items()):
         if now_s - heard_s > SILENCE_KEPT_S:
             state['silent'].pop(endpoint)
-    outgoing.extend(confirmation.check(state, now_s))
-    outgoing.extend(_ask_views(state, now_s))
-    outgoing.extend(_register(state, now_s))
-    outgoing.extend(_name_primaries(state, now_s))
-    outgoing.extend(retirement.check(state, now_s))
-    outgoing.extend(duty.check(state, now_s))
+    checks = (
+        confirmation.check,
+        _ask_views,
+        _register,
+        _name_primaries,
+        retirement.check,
+        duty.check,
+    )
+    for check in checks:
+        outgoing.extend(check(state, now_s))
     for change in list(state['changes'].values()):
         outgoing.extend(
             handover.advance(change['step'], state, change, now_s),
@@ -154,6 +161,11 @@
     return confirmation.take(state, message, now_s)
 
 
+@decide.register
+def _(message: RowsChanged, state: ControlState, now_s: float) -> list[Any]:
+    return confirmation.take_news(state, message, now_s)
+
+
 @decide.register
 def _(message: ReportHeard, state: ControlState, now_s: float) -> list[Any]:
     duty.take_heard(state, message, now_s)
--- a/poplarspoke/control/feeds.py
+++ b/poplarspoke/control/feeds.py
@@ -1,7 +1,8 @@
 """Tasks that own the connections to the metadata store.
 
-Each table is read once and then watched. A watch that finds the history gone
-reads the table anew; what this host knows never goes back.
+Each table is read once and then watched, unless other hosts watch it for this
+one. A watch that finds the history gone reads the table anew; what this host
+knows never goes back.
 """
 
 import random
@@ -12,7 +13,7 @@
 from anyio.abc import TaskGroup
 
 from poplarspoke import errors
-from poplarspoke.control.state import ENDPOINTS, RECORDS, RULES, TABLES
+from poplarspoke.control.state import ENDPOINTS, RULES, TABLES, WATCHES_S
 from poplarspoke.control.tables import HOST_PREFIX
 from poplarspoke.generated.control import (
     OrderPromotion,
@@ -24,18 +25,18 @@
     WriteRecords,
 )
 
-# Longest time of one watch until the control task sets another. The records
-# confirm the leases of this host; the others only end to notice a connection
-# that has gone silent, which peers notice earlier.
-WATCH_S = {RULES: 20.0, ENDPOINTS: 20.0, RECORDS: 2.0}
 # The store answers in 4 ms, and 60 times slower when it is slow.
 ANSWER_S = 1.0
 # Rows of hosts and endpoints are read together: at a start of the fleet each of
 # them writes one, which would wake all hosts each time.
 GATHER_S = 0.3
-# Tries after a failure are spread, so that hosts do not all return at once.
+# Tries after a failure are spread, so that hosts do not all return at once, and
+# become rarer: refused calls are priced too, and lapsed entries are back within
+# 2 s of the store's return.
 MIN_RETRY_S = 0.15
 MAX_RETRY_S = 0.45
+RETRY_GROWTH = 1.5
+MAX_GROWN_S = 1.0
 
 
 class MetadataClient(Protocol):
@@ -98,10 +99,12 @@
         self._now_s = now_s
         self._rng = rng
         self._group: TaskGroup
-        self._waits_s = dict(WATCH_S)
+        self._waits_s = dict(WATCHES_S)
         # Version that a watch goes on from; None reads the table first.
         self._versions: dict[str, int | None] = dict.fromkeys(TABLES)
         self._scopes: dict[str, anyio.CancelScope] = {}
+        self._needed = {table: anyio.Event() for table in TABLES}
+        self._failures = dict.fromkeys(TABLES, 0)
 
     async def __aenter__(self) -> Self:
         """Starts one watch for each table."""
@@ -118,6 +121,8 @@
     def set_watch(self, message: SetWatch) -> None:
         """Sets the length of watches and starts a new one at once."""
         self._waits_s[message.table] = message.wait_s
+        if message.wait_s:
+            self._needed[message.table].set()
         scope = self._scopes.get(message.table)
         if scope is not None:
             scope.cancel()
@@ -132,10 +137,16 @@
 
     async def _watch(self, table: str) -> None:
         while True:
+            if self._versions[table] is not None and not self._waits_s[table]:
+                await self._needed[table].wait()
+            self._needed[table] = anyio.Event()
             if await self._connect_and_follow(table):
                 continue
             wait_s = self._rng.uniform(MIN_RETRY_S, MAX_RETRY_S)
-            await anyio.sleep(wait_s)
+            wait_s *= RETRY_GROWTH ** self._failures[table]
+            if wait_s < MAX_GROWN_S:
+                self._failures[table] += 1
+            await anyio.sleep(min(wait_s, MAX_GROWN_S))
 
     async def _connect_and_follow(self, table: str) -> bool:
         """Returns whether the watch ended to be started anew."""
@@ -156,16 +167,20 @@
             version = self._versions[table]
             if version is None:
                 rows = await client.read_table(table, timeout_s=ANSWER_S)
+                self._failures[table] = 0
                 self._versions[table] = rows.version
                 self._post(rows._replace(asked_s=asked_s, complete=True))
                 continue
             wait_s = self._waits_s[table]
+            if not wait_s:
+                return
             changed = await client.watch_table(
                 table,
                 version,
                 wait_s=wait_s,
                 timeout_s=wait_s + ANSWER_S,
             )
+            self._failures[table] = 0
             if changed is None:
                 self._versions[table] = None
                 continue
--- a/poplarspoke/control/state.py
+++ b/poplarspoke/control/state.py
@@ -21,6 +21,17 @@
 ENDPOINTS = 'endpoints'
 RECORDS = 'records'
 TABLES = (RULES, ENDPOINTS, RECORDS)
+SHORT_WATCH_S = 2.0
+LONG_WATCH_S = 20.0
+NO_WATCH_S = 0
+# How long a host watches each table if it does. The records confirm its leases;
+# watches of the others only end to notice a connection that has gone silent,
+# which peers notice earlier.
+WATCHES_S = {
+    RULES: LONG_WATCH_S,
+    ENDPOINTS: LONG_WATCH_S,
+    RECORDS: SHORT_WATCH_S,
+}
 # Keys of the operators' table.
 RULES_KEY = 'config'
 EVACUATION_PREFIX = 'evacuate/'
@@ -217,8 +228,14 @@
         retired_since_s: When a host was first seen to be marked.
         retire_s: When hosts are marked or removed next.
         ask_s: When a reader is asked next.
-        watch_s: How long this host's watches of the records last.
+        watches_s: How long this host's watches of each table last.
+        watch_until_s: Until when this host watches though it is no reader.
+        fetch_s: When changed rows may be asked for again.
         behind_since_s: When a peer was first seen to have newer rows.
+        far_heard_s: When a host of another zone last answered.
+        suspected_s: Since when this zone may be cut off; 0 if it is not.
+        suspect_s: When a cut may be suspected again.
+        isolated: Whether this zone is cut off and leads few services.
     """
 
     settings: HostSettings
@@ -247,8 +264,14 @@
     register_s: float
     view_s: float
     ask_s: float
-    watch_s: float
+    watches_s: dict[str, float]
+    watch_until_s: float
+    fetch_s: float
     behind_since_s: dict[str, float]
+    far_heard_s: float
+    suspected_s: float
+    suspect_s: float
+    isolated: bool
     leaving: bool
     ready: bool
     unanswered: set[str]
@@ -291,8 +314,14 @@
         register_s=0,
         view_s=0,
         ask_s=0,
-        watch_s=0,
+        watches_s=dict(WATCHES_S),
+        watch_until_s=0,
+        fetch_s=0,
         behind_since_s={},
+        far_heard_s=0,
+        suspected_s=0,
+        suspect_s=0,
+        isolated=False,
         leaving=False,
         ready=False,
         unanswered=set(),
--- a/poplarspoke/schema/control.capnp
+++ b/poplarspoke/schema/control.capnp
@@ -207,7 +207,7 @@
 }
 
 struct Confirmed {
-  # Answer to AskConfirmed; versions are those of the newest row.
+  # Answer to AskConfirmed; versions are those of the newest change.
   sender @0 :Text;
   askedS @1 :Float64;
   ageS @2 :Float64;  # Since the question that confirmed the records.
@@ -216,10 +216,18 @@
   records @5 :UInt64;
 }
 
+struct RowsChanged {
+  # Tells a host that does not watch the store which changes a reader has seen.
+  sender @0 :Text;
+  rules @1 :UInt64;
+  endpoints @2 :UInt64;
+  records @3 :UInt64;
+}
+
 struct SetWatch {
   # Changes how long watches of a table last, and starts a new one.
   table @0 :Text;
-  waitS @1 :Float64;
+  waitS @1 :Float64;  # 0 for no watch.
 }
 
 struct PeerDatagram {
@@ -236,5 +244,6 @@
     releaseIdle @8 :Relay.ReleaseIdle;
     askConfirmed @9 :AskConfirmed;
     confirmed @10 :Confirmed;
+    rowsChanged @11 :RowsChanged;
   }
 }
--- a/tests/control_world.py
+++ b/tests/control_world.py
@@ -5,7 +5,7 @@
 from typing import Any, TypeVar
 
 from poplarspoke import codec
-from poplarspoke.control import decisions
+from poplarspoke.control import decisions, tables
 from poplarspoke.control.state import (
     ENDPOINTS,
     RECORDS,
@@ -23,8 +23,10 @@
     QueryEndpoint,
     Reach,
     RecordsWritten,
+    SetWatch,
     TableRow,
     TableRows,
+    ViewNeeded,
     WriteRecords,
 )
 from poplarspoke.generated.rules import (
@@ -52,15 +54,18 @@
     Attributes:
         deaf: Hosts that the store does not answer.
         silent: Hosts that no datagram reaches.
+        cut: Zones that nothing passes to or from.
+        unwatched: Hosts and tables that they do not watch.
         sent: Everything that each host has returned.
         orders: Promotions in their order, with holder and token.
         endpoints: State of each endpoint.
     """
 
-    def __init__(self, hosts: int = 3) -> None:
+    def __init__(self, hosts: int = 3, *, zones: int = 1) -> None:
         """Starts the hosts and lets them name the first primary."""
         self.now_s = float(100)
         self.version = 1
+        self.rules = TableRow('config', 1, content='1')
         self.rows: dict[str, TableRow] = {}
         self.deaf: set[str] = set()
         self.silent: set[str] = set()
@@ -70,6 +75,9 @@
         self.members: dict[str, EndpointState] = {}
         self.entries: dict[str, EndpointEntry] = {}
         self.dead: set[str] = set()
+        self.cut: set[str] = set()
+        self.unwatched: set[tuple[str, str]] = set()
+        self._zones = zones
         for number, name in enumerate(('m1', 'm2', 'm3')):
             role = EndpointRole(int(not number))
             self.members[name] = EndpointState(
@@ -79,7 +87,7 @@
                 endpoint=name,
                 service=SERVICE,
                 address=f'127.0.0.1:{number + 1}',
-                zone='z1',
+                zone=f'z{number % zones + 1}',
                 slots=2,
                 role=role,
             )
@@ -91,7 +99,7 @@
         """Starts a host, or starts it again."""
         settings = HostSettings(
             name=name,
-            zone='z1',
+            zone=self.find_zone(name),
             ip='127.0.0.1',
             peer_port=1,
             control_address=f'{name}:1',
@@ -119,7 +127,7 @@
         if name in self.deaf:
             return
         contents = {
-            RULES: [TableRow('config', 1, content='1')],
+            RULES: [self.rules],
             ENDPOINTS: [
                 TableRow(entry, self.version, content='{}')
                 for entry in self.entries
@@ -127,6 +135,8 @@
             RECORDS: list(self.rows.values()),
         }
         for table, rows in contents.items():
+            if (name, table) in self.unwatched:
+                continue
             answer = TableRows(
                 table,
                 tuple(rows),
@@ -168,6 +178,11 @@
         """Returns the content of a row of the table."""
         return json.loads(self.rows[key].content)
 
+    def configure(self, number: int) -> None:
+        """Writes a configuration as the operators do."""
+        self.version += 1
+        self.rules = TableRow('config', self.version, content=str(number))
+
     def set_entry(self, name: str, **changed: Any) -> None:
         """Changes what an endpoint says of itself."""
         self.version += 1
@@ -176,12 +191,11 @@
     def perform(self, name: str, outgoing: Any) -> None:
         """Carries out one message of a host."""
         if isinstance(outgoing, ToHost):
-            if outgoing.host not in self.silent and name not in self.silent:
+            if self._is_reached(name, outgoing.host):
                 self._send(name, outgoing)
             return
         if isinstance(outgoing, ToTask):
-            if isinstance(outgoing.message, QueryEndpoint):
-                self._query(name, outgoing.message)
+            self._tell_task(name, outgoing.message)
             return
         if not isinstance(outgoing, ToStore) or name in self.deaf:
             return
@@ -190,6 +204,43 @@
             return
         self._write(name, outgoing.message)
 
+    def find_zone(self, name: str) -> str:
+        """Returns the zone of a host."""
+        return f'z{int(name[1:]) % self._zones + 1}'
+
+    def _is_reached(self, name: str, other: str) -> bool:
+        if name in self.silent or other in self.silent:
+            return False
+        if other not in self.hosts:
+            return False
+        zones = {self.find_zone(name), self.find_zone(other)}
+        return len(zones) == 1 or not zones & self.cut
+
+    def _tell_task(self, name: str, message: Any) -> None:
+        if isinstance(message, QueryEndpoint):
+            self._query(name, message)
+        if isinstance(message, SetWatch):
+            key = (name, message.table)
+            self.unwatched.discard(key)
+            if not message.wait_s:
+                self.unwatched.add(key)
+        if isinstance(message, ViewNeeded):
+            self._show_view(name, message)
+
+    def _show_view(self, name: str, needed: ViewNeeded) -> None:
+        for address in needed.addresses:
+            peer = address.partition(':')[0]
+            if peer not in self.hosts or not self._is_reached(name, peer):
+                continue
+            state = self.hosts[peer]
+            view = tables.show_view(state, needed.request, self.now_s)
+            for table in view.tables:
+                asked_s = self.now_s - table.age_s
+                self.post(
+                    name,
+                    TableRows(table.table, table.rows, table.version, asked_s),
+                )
+
     def _send(self, name: str, outgoing: ToHost) -> None:
         message = outgoing.message
         if not isinstance(message, AskReach):
