Leave a zone that is cut off not ready, so that its callers reach others

Change: a host that no host of another zone answers, and that reaches at most half of the primaries, is not ready; the platform sends new connections to other zones. Ruled out: a change of primary during the cut, which has to wait for the leases of the zone's hosts.

--- a/poplarspoke/control/confirmation.py
+++ b/poplarspoke/control/confirmation.py
@@ -11,7 +11,7 @@
 
 import xxhash
 
-from poplarspoke.control import tables
+from poplarspoke.control import isolation, tables
 from poplarspoke.control.state import (
     NO_WATCH_S,
     RECORDS,
@@ -79,7 +79,7 @@
 
 def take(state: ControlState, message: Confirmed, now_s: float) -> list[Any]:
     """Renews the leases if the peer knows of nothing newer."""
-    outgoing: list[Any] = []
+    outgoing = isolation.take_answer(state, message, now_s)
     theirs = (message.rules, message.endpoints, message.records)
     outgoing.extend(_catch_up(state, message.sender, theirs, now_s))
     records = state['tables'][RECORDS]
--- a/poplarspoke/control/decisions.py
+++ b/poplarspoke/control/decisions.py
@@ -7,6 +7,7 @@
     confirmation,
     duty,
     handover,
+    isolation,
     records,
     retirement,
     tables,
@@ -108,6 +109,7 @@
             state['silent'].pop(endpoint)
     checks = (
         confirmation.check,
+        isolation.check,
         _ask_views,
         _register,
         _name_primaries,
@@ -352,6 +354,8 @@
 def _is_ready(state: ControlState, now_s: float) -> bool:
     if state['leaving'] or not state['ruleset'].version:
         return False
+    if state['isolated']:
+        return False
     for name in (RULES, ENDPOINTS):
         if not state['tables'][name]['complete']:
             return False
--- /dev/null
+++ b/poplarspoke/control/isolation.py
@@ -0,0 +1,105 @@
+"""Notices that this zone is cut off from all others.
+
+Callers still reach a zone that is cut off, but most of what they ask needs a
+primary elsewhere. A host that no host of another zone answers, and that reaches
+at most half of the primaries, is not ready: the platform then sends the callers
+to other zones. A zone that leads most services goes on.
+"""
+
+from typing import Any
+
+from poplarspoke.control.state import ControlState
+from poplarspoke.generated.control import AskConfirmed, Confirmed
+from poplarspoke.generated.relay import LogDecision
+from poplarspoke.tasks import ToHost
+
+# Hosts of other zones that are asked in each round of 0.1 s.
+ASKED_HOSTS = 3
+# Three rounds without an answer; a round trip between zones takes 3 ms.
+UNANSWERED_S = 0.3
+# Endpoints that do not answer are common; hosts are asked again after this.
+SUSPECT_AGAIN_S = 0.5
+# Longer than readers are asked in, so that a calm host asks nobody here.
+QUIET_S = 3.0
+
+
+def check(state: ControlState, now_s: float) -> list[Any]:
+    """Asks hosts of other zones if there is a sign of a cut."""
+    far = _list_far_hosts(state)
+    if not far:
+        state['suspected_s'] = 0
+        state['isolated'] = False
+        return []
+    if not state['suspected_s']:
+        if now_s < state['suspect_s'] or not _is_suspicious(state, now_s):
+            return []
+        state['suspected_s'] = now_s
+    outgoing: list[Any] = []
+    asked_for_s = now_s - state['suspected_s']
+    if asked_for_s >= UNANSWERED_S and not state['isolated']:
+        state['isolated'] = _reaches_few(state)
+        if state['isolated']:
+            outgoing.append(_log('zone cut off', 'not ready', asked_for_s))
+    own = state['settings'].name
+    asked = state['rng'].sample(far, min(ASKED_HOSTS, len(far)))
+    outgoing.extend(ToHost(name, AskConfirmed(own, now_s)) for name in asked)
+    return outgoing
+
+
+def take_answer(
+    state: ControlState,
+    message: Confirmed,
+    now_s: float,
+) -> list[Any]:
+    """Ends the suspicion when a host of another zone answers."""
+    host = state['hosts'].get(message.sender)
+    if host is None or host.zone == state['settings'].zone:
+        return []
+    state['far_heard_s'] = now_s
+    if not state['suspected_s'] or message.asked_s < state['suspected_s']:
+        return []
+    asked_for_s = now_s - state['suspected_s']
+    state['suspected_s'] = 0
+    state['suspect_s'] = now_s + SUSPECT_AGAIN_S
+    if not state['isolated']:
+        return []
+    state['isolated'] = False
+    return [_log('zone reached again', 'ready', asked_for_s)]
+
+
+def _list_far_hosts(state: ControlState) -> list[str]:
+    zone = state['settings'].zone
+    return sorted(
+        name
+        for name, host in state['hosts'].items()
+        if host.zone != zone and not host.retired
+    )
+
+
+def _is_suspicious(state: ControlState, now_s: float) -> bool:
+    if state['far_heard_s'] and now_s - state['far_heard_s'] > QUIET_S:
+        return True
+    return any(_is_far(state, endpoint) for endpoint in state['silent'])
+
+
+def _reaches_few(state: ControlState) -> bool:
+    """Returns whether the primaries of other zones are silent and many."""
+    primaries = [known.record.endpoint for known in state['primaries'].values()]
+    far = [name for name in primaries if _is_far(state, name)]
+    silent = [name for name in far if name in state['silent']]
+    near = len(primaries) - len(far)
+    return len(silent) * 2 >= len(far) and near * 2 <= len(primaries)
+
+
+def _is_far(state: ControlState, endpoint: str) -> bool:
+    entry = state['endpoints'].get(endpoint)
+    return entry is not None and entry.zone != state['settings'].zone
+
+
+def _log(event: str, outcome: str, age_s: float) -> LogDecision:
+    return LogDecision(
+        event=event,
+        outcome=outcome,
+        reason='answers of hosts in other zones',
+        age_s=age_s,
+    )
