Try lagging, busy and lossy endpoints less often

An endpoint that lost answers looked as fast as the others, and a read was moved too late to be answered in time. Change: both waits double, a replica is used again once its own position shows that it has caught up, a read is moved after half of its objective, and the time that it waited in vain counts into the endpoint's latency. Ruled out for the zone: hosts of a zone that leads half of the services stay ready, since nobody else serves these.

--- a/poplarspoke/control/isolation.py
+++ b/poplarspoke/control/isolation.py
@@ -2,7 +2,7 @@
 
 Callers still reach a zone that is cut off, but most of what they ask needs a
 primary elsewhere. A host that no host of another zone answers, and that reaches
-at most half of the primaries, is not ready: the platform then sends the callers
+less than half of the primaries, is not ready: the platform then sends the callers
 to other zones. A zone that leads most services goes on.
 """
 
@@ -88,7 +88,7 @@
     far = [name for name in primaries if _is_far(state, name)]
     silent = [name for name in far if name in state['silent']]
     near = len(primaries) - len(far)
-    return len(silent) * 2 >= len(far) and near * 2 <= len(primaries)
+    return len(silent) * 2 >= len(far) and near * 2 < len(primaries)
 
 
 def _is_far(state: ControlState, endpoint: str) -> bool:
--- a/poplarspoke/relay/answers.py
+++ b/poplarspoke/relay/answers.py
@@ -23,13 +23,16 @@
 
 # Weight of the newest answer in an endpoint's average latency.
 LATENCY_WEIGHT = 0.2
-# A replica whose log lags is left out for this long, so that reads do not
-# ask it in vain.
+# A replica whose log lags is left out for this long, doubled each time, so that
+# reads do not ask it in vain; hosts do not tell each other.
 BEHIND_S = 0.15
+MAX_BEHIND_S = 1.2
 # Tries of one statement on different connections.
 MAX_ATTEMPTS = 6
-# A statement that an endpoint was too busy for is placed again after it.
+# A statement that an endpoint was too busy for is placed again after this time,
+# doubled each time: many hosts send to the same endpoint.
 BUSY_WAIT_S = 0.02
+MAX_BUSY_WAIT_S = 0.16
 # Answers after which a statement may be placed again.
 RETRIED_CODES = frozenset(
     (
@@ -101,6 +104,24 @@
     return operations.place(state, operation, now_s)
 
 
+def learn_latency(
+    state: RelayState,
+    connection: Connection,
+    now_s: float,
+) -> None:
+    """Counts the time since a statement was sent into the average.
+
+    A statement that is given up counts as well: an endpoint that loses some of
+    its answers would otherwise look as good as the others.
+    """
+    endpoint = state['endpoints'].get(connection['endpoint'])
+    if endpoint is None:
+        return
+    latency_s = now_s - connection['sent_s']
+    change_s = latency_s - endpoint['latency_s']
+    endpoint['latency_s'] += LATENCY_WEIGHT * change_s
+
+
 def _learn(
     state: RelayState,
     endpoint: Endpoint,
@@ -111,9 +132,10 @@
     endpoint['heard_s'] = now_s
     endpoint['silent_since_s'] = 0
     endpoint['failures'] = 0
-    latency_s = now_s - connection['sent_s']
-    change_s = latency_s - endpoint['latency_s']
-    endpoint['latency_s'] += LATENCY_WEIGHT * change_s
+    endpoint['position'] = reply.position
+    if reply.code is AnswerCode.DONE:
+        endpoint['lags'] = 0
+    learn_latency(state, connection, now_s)
     service = endpoint['entry'].service
     lease = routing.find_lease(state, service, now_s)
     if lease is None or lease.endpoint != connection['endpoint']:
@@ -194,9 +216,14 @@
     endpoint = state['endpoints'].get(name)
     operation['tried'].add(name)
     if reply.code is AnswerCode.LAGGING and endpoint is not None:
-        endpoint['behind_until_s'] = now_s + BEHIND_S
+        behind_s = BEHIND_S * 2 ** endpoint['lags']
+        endpoint['behind_until_s'] = now_s + min(behind_s, MAX_BEHIND_S)
+        endpoint['lags'] += behind_s < MAX_BEHIND_S
     if reply.code in {AnswerCode.BUSY, AnswerCode.READ_ONLY}:
-        operation['not_before_s'] = now_s + BUSY_WAIT_S
+        wait_s = BUSY_WAIT_S * 2 ** operation['rejections']
+        wait_s *= state['rng'].uniform(0.5, 1)
+        operation['not_before_s'] = now_s + min(wait_s, MAX_BUSY_WAIT_S)
+        operation['rejections'] += wait_s < MAX_BUSY_WAIT_S
         operation['attempts'] -= 1
     pool.release(state, connection['connection'], now_s)
     operation['connection'] = NO_CONNECTION
--- a/poplarspoke/relay/deadlines.py
+++ b/poplarspoke/relay/deadlines.py
@@ -25,8 +25,9 @@
 # Without a primary a statement is refused, since another host may reach it; a
 # primary that was released and kept is back within some round trips.
 NO_PRIMARY_WAIT_S = 0.05
-# A read is sent to another endpoint after this part of its objective.
-PATIENCE_PART = 0.75
+# A read is sent to another endpoint after this part of its objective, so that
+# the other one can still answer within it.
+PATIENCE_PART = 0.5
 
 
 def check_time(
@@ -193,6 +194,7 @@
     number = operation['connection']
     connection = state['connections'][number]
     operation['tried'].add(connection['endpoint'])
+    answers.learn_latency(state, connection, now_s)
     others = [
         name
         for name in routing.rank_endpoints(state, operation, now_s)
--- a/poplarspoke/relay/operations.py
+++ b/poplarspoke/relay/operations.py
@@ -205,6 +205,7 @@
         awaits_rate=False,
         not_before_s=0,
         attempts=0,
+        rejections=0,
     )
 
 
--- a/poplarspoke/relay/routing.py
+++ b/poplarspoke/relay/routing.py
@@ -138,7 +138,9 @@
         return False
     if endpoint['entry'].endpoint in operation['tried']:
         return False
-    if now_s < endpoint['behind_until_s']:
+    # Its log only grows, unless a change of primary rolls it back.
+    has_position = endpoint['position'] >= operation['after']
+    if now_s < endpoint['behind_until_s'] and not has_position:
         return False
     session = state['sessions'][operation['session']]
     return now_s - session['wrote_s'] > APPLY_DELAY_S
--- a/poplarspoke/relay/state.py
+++ b/poplarspoke/relay/state.py
@@ -93,6 +93,7 @@
         awaits_rate: Whether it waits for a rate token.
         not_before_s: When it may be placed again.
         attempts: How often it was assigned to a connection.
+        rejections: How often an endpoint was too busy for it.
     """
 
     session: int
@@ -111,6 +112,7 @@
     awaits_rate: bool
     not_before_s: float
     attempts: int
+    rejections: int
 
 
 class Session(TypedDict):
@@ -186,6 +188,8 @@
         avoid_until_s: Until when nothing is sent to it after a failure.
         failures: Failures in a row.
         behind_until_s: Until when its log is taken to lag too far.
+        lags: Answers in a row that its log lagged too far.
+        position: Position of its log in its last answer.
         full_until_s: Until when no further connection is tried.
         leaving_since_s: When it was first known to leave; 0 if it does not.
         leave_within_s: Time after which it gets no new work.
@@ -200,6 +204,8 @@
     avoid_until_s: float
     failures: int
     behind_until_s: float
+    lags: int
+    position: Position
     full_until_s: float
     leaving_since_s: float
     leave_within_s: float
@@ -312,6 +318,8 @@
         avoid_until_s=0,
         failures=0,
         behind_until_s=0,
+        lags=0,
+        position=NO_POSITION,
         full_until_s=0,
         leaving_since_s=0,
         leave_within_s=0,
