Notice hosts that are gone before a primary has to be changed

A holder of the duty that died was missed only by the next change, whose first order then waited 2.5 s for orders of the old holder. Change: somebody holds the duty from the start, a silent holder is replaced beforehand, and the holder marks single hosts that stop to answer; a change waits for a marked host no longer than a lease after the mark.

--- a/poplarspoke/control/confirmation.py
+++ b/poplarspoke/control/confirmation.py
@@ -62,8 +62,11 @@
     state['ask_s'] = now_s + ASK_S
     if _age(state, now_s) > ASK_S:
         state['ask_s'] = now_s + ASK_AGAIN_S
-    reader = state['rng'].choice(readers)
-    return [*outgoing, ToHost(reader, AskConfirmed(own, now_s))]
+    # The holder of the duty notices hosts that have stopped to ask.
+    asked = {state['rng'].choice(readers), state['duty'].record.holder}
+    asked -= {own, ''}
+    question = AskConfirmed(own, now_s)
+    return [*outgoing, *(ToHost(name, question) for name in sorted(asked))]
 
 
 def answer(state: ControlState, message: AskConfirmed, now_s: float) -> ToHost:
--- a/poplarspoke/control/decisions.py
+++ b/poplarspoke/control/decisions.py
@@ -10,6 +10,7 @@
     isolation,
     records,
     retirement,
+    succession,
     tables,
 )
 from poplarspoke.control.state import (
@@ -113,6 +114,7 @@
         _ask_views,
         _register,
         _name_primaries,
+        succession.check,
         retirement.check,
         duty.check,
     )
@@ -155,11 +157,14 @@
 
 @decide.register
 def _(message: AskConfirmed, state: ControlState, now_s: float) -> list[Any]:
+    retirement.hear(state, message.sender, now_s)
     return [confirmation.answer(state, message, now_s)]
 
 
 @decide.register
 def _(message: Confirmed, state: ControlState, now_s: float) -> list[Any]:
+    retirement.hear(state, message.sender, now_s)
+    succession.hear(state, message, now_s)
     return confirmation.take(state, message, now_s)
 
 
--- a/poplarspoke/control/duty.py
+++ b/poplarspoke/control/duty.py
@@ -262,7 +262,7 @@
     holder = state['duty'].record.holder
     own = state['settings'].name
     if holder in {'', own} or _is_holder_gone(state, report, now_s):
-        return _take(state, now_s)
+        return take(state, now_s)
     if now_s < report['next_s']:
         return []
     report['next_s'] = now_s + REPORT_AGAIN_S
@@ -342,7 +342,8 @@
     return outgoing
 
 
-def _take(state: ControlState, now_s: float) -> list[Any]:
+def take(state: ControlState, now_s: float) -> list[Any]:
+    """Writes that this host holds the duty, under a higher token."""
     if now_s < state['take_s'] or not state['tables'][RECORDS]['complete']:
         return []
     state['take_s'] = now_s + TAKE_AGAIN_S
--- a/poplarspoke/control/handover.py
+++ b/poplarspoke/control/handover.py
@@ -116,24 +116,26 @@
 ) -> list[Any]:
     if state['tables'][RECORDS]['version'] < change['claim_version']:
         return []
-    # An earlier holder may have claimed the change before.
-    since_s = state['changing_since_s'].get(change['service'], now_s)
-    ended_s = min(change['claimed_s'], since_s) + LEASE_S + LEASE_MARGIN_S
-    missing = set(state['hosts']) - change['released']
+    unanswered = set(state['hosts']) - change['released']
+    missing = {
+        name
+        for name in unanswered
+        if now_s < _end_lease(state, change, name, now_s)
+    }
     own = state['settings'].name
     if own in missing:
         change['released'].add(own)
-        missing.discard(own)
         state['released'][change['service']] = change['number']
         revoked = ToTask(RELAY, LeaseRevoked(change['service']))
         return [revoked, *advance(step, state, change, now_s)]
-    if not missing or now_s >= ended_s:
-        state['unanswered'].update(missing)
+    if not missing:
+        state['unanswered'].update(unanswered)
+        names = ','.join(sorted(unanswered)) or 'none'
         line = _log(
             change,
             'primary released',
             now_s,
-            f'hosts without an answer: {",".join(sorted(missing)) or "none"}',
+            f'hosts without an answer: {names}',
         )
         choosing = Choosing(now_s, now_s)
         _enter(change, choosing)
@@ -189,6 +191,21 @@
     return _query(state, change, change['candidate'], 0)
 
 
+def _end_lease(
+    state: ControlState,
+    change: Change,
+    host: str,
+    now_s: float,
+) -> float:
+    """Returns when a host that does not answer has no lease any more."""
+    # An earlier holder may have claimed the change before.
+    since_s = state['changing_since_s'].get(change['service'], now_s)
+    last_s = min(change['claimed_s'], since_s)
+    # A retired host could not renew its leases since it was marked.
+    last_s = min(last_s, state['retired_since_s'].get(host, last_s))
+    return last_s + LEASE_S + LEASE_MARGIN_S
+
+
 def take_release(
     state: ControlState,
     message: Released,
--- a/poplarspoke/control/state.py
+++ b/poplarspoke/control/state.py
@@ -227,6 +227,10 @@
         unanswered: Hosts that a change of primary has waited for in vain.
         retired_since_s: When a host was first seen to be marked.
         retire_s: When hosts are marked or removed next.
+        holder_seen_s: When the holder was last heard, or took the duty.
+        holder_suspect_s: Since when it may be gone; 0 if it is not.
+        others_seen_s: When another host has answered since then.
+        heard_s: When this host, as the holder, last heard each host.
         ask_s: When a reader is asked next.
         watches_s: How long this host's watches of each table last.
         watch_until_s: Until when this host watches though it is no reader.
@@ -277,6 +281,10 @@
     unanswered: set[str]
     retired_since_s: dict[str, float]
     retire_s: float
+    holder_seen_s: float
+    holder_suspect_s: float
+    others_seen_s: float
+    heard_s: dict[str, float]
 
 
 def create_state(
@@ -327,6 +335,10 @@
         unanswered=set(),
         retired_since_s={},
         retire_s=0,
+        holder_seen_s=0,
+        holder_suspect_s=0,
+        others_seen_s=0,
+        heard_s={},
     )
 
 
--- a/poplarspoke/control/tables.py
+++ b/poplarspoke/control/tables.py
@@ -283,6 +283,7 @@
             report['heard_s'] = now_s
             report['next_s'] = now_s
         state['holder_heard_s'] = 0
+        state['holder_seen_s'] = now_s
     state['duty'] = VersionedDuty(record, row.version)
 
 
