Start no watch before it is wanted, and confirm the records each second

Change: no watch until the control task sets one; two readers in a zone confirm the records each second; a host watches itself if no reader answers for 3 s.

--- a/poplarspoke/control/confirmation.py
+++ b/poplarspoke/control/confirmation.py
@@ -32,14 +32,17 @@
 
 # In a small fleet all hosts are readers.
 READERS = 8
-# In a larger one, so many in each zone: one may be down, another be refused by
-# the store.
-ZONE_READERS = 3
-# Another host is asked when the last confirmation is older than this.
-ASK_S = 1.5
+# In a larger one, so many in each zone: one may be down or refused by the store.
+ZONE_READERS = 2
+# A reader is asked this often, and sooner while what it confirms is old.
+ASK_S = 1.0
 ASK_AGAIN_S = 0.4
-# Without a confirmation this host watches the store itself.
-OVERDUE_S = 3.0
+OLD_S = 3.5
+# A host that no reader answers watches the store itself.
+UNHEARD_S = 3.0
+# So does a host whose leases would end soon; the readers may all be refused by
+# a store that serves the others.
+OVERDUE_S = 6.0
 # It goes on for so long, so that it does not stop and start with each answer.
 WATCH_KEPT_S = 10.0
 # A watch that is behind a peer's for so long has lost its connection.
@@ -52,6 +55,8 @@
     """Asks a reader, and sets the length of this host's own watches."""
     if not state['tables'][RECORDS]['complete']:
         return []
+    # The first answer has its time from the end of the first reading.
+    state['reader_heard_s'] = state['reader_heard_s'] or now_s
     outgoing = _set_watches(state, now_s)
     if now_s < state['ask_s']:
         return outgoing
@@ -60,7 +65,7 @@
     if not readers:
         return outgoing
     state['ask_s'] = now_s + ASK_S
-    if _age(state, now_s) > ASK_S:
+    if _age(state, now_s) > OLD_S:
         state['ask_s'] = now_s + ASK_AGAIN_S
     # The holder of the duty notices hosts that have stopped to ask.
     asked = {state['rng'].choice(readers), state['duty'].record.holder}
@@ -83,6 +88,8 @@
 def take(state: ControlState, message: Confirmed, now_s: float) -> list[Any]:
     """Renews the leases if the peer knows of nothing newer."""
     outgoing = isolation.take_answer(state, message, now_s)
+    if message.sender in _list_readers(state):
+        state['reader_heard_s'] = now_s
     theirs = (message.rules, message.endpoints, message.records)
     outgoing.extend(_catch_up(state, message.sender, theirs, now_s))
     records = state['tables'][RECORDS]
@@ -162,7 +169,8 @@
 
 def _set_watches(state: ControlState, now_s: float) -> list[Any]:
     own = state['settings'].name
-    if _age(state, now_s) > OVERDUE_S:
+    unheard_s = now_s - state['reader_heard_s']
+    if unheard_s > UNHEARD_S or _age(state, now_s) > OVERDUE_S:
         state['watch_until_s'] = now_s + WATCH_KEPT_S
     watches = own in _list_readers(state) or now_s < state['watch_until_s']
     outgoing: list[Any] = []
--- a/poplarspoke/control/decisions.py
+++ b/poplarspoke/control/decisions.py
@@ -63,8 +63,8 @@
 BOOTSTRAP_S = 0.3
 # Registration is repeated after a write without an answer.
 REGISTER_AGAIN_S = 0.5
-# A table is overdue when its watch, which ends within 2 s, is this late.
-OVERDUE_S = 3.0
+# Readers confirm the records within 2 s, and are asked each second.
+OVERDUE_S = 4.0
 VIEW_AGAIN_S = 0.5
 # Rules that were confirmed this long ago may have been replaced.
 READY_S = 10.0
--- a/poplarspoke/control/feeds.py
+++ b/poplarspoke/control/feeds.py
@@ -13,7 +13,7 @@
 from anyio.abc import TaskGroup
 
 from poplarspoke import errors
-from poplarspoke.control.state import ENDPOINTS, RULES, TABLES, WATCHES_S
+from poplarspoke.control.state import ENDPOINTS, NO_WATCH_S, RULES, TABLES
 from poplarspoke.control.tables import HOST_PREFIX
 from poplarspoke.generated.control import (
     OrderPromotion,
@@ -99,7 +99,7 @@
         self._now_s = now_s
         self._rng = rng
         self._group: TaskGroup
-        self._waits_s = dict(WATCHES_S)
+        self._waits_s = dict.fromkeys(TABLES, float(NO_WATCH_S))
         # Version that a watch goes on from; None reads the table first.
         self._versions: dict[str, int | None] = dict.fromkeys(TABLES)
         self._scopes: dict[str, anyio.CancelScope] = {}
--- a/poplarspoke/control/retirement.py
+++ b/poplarspoke/control/retirement.py
@@ -20,7 +20,7 @@
 REMOVE_S = LEASE_S + 2
 # Writes that were lost are repeated after this time.
 AGAIN_S = 2.0
-# Hosts ask the holder each 1.5 s; one that has missed an ask is asked itself.
+# Hosts ask the holder each second; one that has missed an ask is asked itself.
 ASKED_S = 2.0
 # It has then left several questions unanswered.
 SILENT_S = 2.8
--- a/poplarspoke/control/state.py
+++ b/poplarspoke/control/state.py
@@ -21,10 +21,12 @@
 ENDPOINTS = 'endpoints'
 RECORDS = 'records'
 TABLES = (RULES, ENDPOINTS, RECORDS)
-SHORT_WATCH_S = 2.0
+# The age of what a reader has confirmed lies between one and two watches; it is
+# taken off the time that leases bridge while the store is away.
+SHORT_WATCH_S = 1.0
 LONG_WATCH_S = 20.0
 NO_WATCH_S = 0
-# How long a host watches each table if it does. The records confirm its leases;
+# How long a reader watches each table. The records confirm its leases;
 # watches of the others only end to notice a connection that has gone silent,
 # which peers notice earlier.
 WATCHES_S = {
@@ -233,6 +235,7 @@
         heard_s: When this host, as the holder, last heard each host.
         ask_s: When a reader is asked next.
         watches_s: How long this host's watches of each table last.
+        reader_heard_s: When a reader last answered.
         watch_until_s: Until when this host watches though it is no reader.
         fetch_s: When changed rows may be asked for again.
         behind_since_s: When a peer was first seen to have newer rows.
@@ -269,6 +272,7 @@
     view_s: float
     ask_s: float
     watches_s: dict[str, float]
+    reader_heard_s: float
     watch_until_s: float
     fetch_s: float
     behind_since_s: dict[str, float]
@@ -322,7 +326,8 @@
         register_s=0,
         view_s=0,
         ask_s=0,
-        watches_s=dict(WATCHES_S),
+        watches_s=dict.fromkeys(TABLES, NO_WATCH_S),
+        reader_heard_s=0,
         watch_until_s=0,
         fetch_s=0,
         behind_since_s={},
--- a/poplarspoke/control/succession.py
+++ b/poplarspoke/control/succession.py
@@ -15,9 +15,9 @@
 from poplarspoke.generated.control import AskConfirmed, Confirmed
 from poplarspoke.tasks import ToHost
 
-# Hosts ask the holder each 1.5 s; after two asks without an answer it is asked
+# Hosts ask the holder each second; after two asks without an answer it is asked
 # with each tick.
-QUIET_S = 3.2
+QUIET_S = 2.5
 # It is replaced if it stays silent for this time more while others answer.
 SUSPECT_S = 0.8
 # The successors in their order, one after the other, so that one comes first.
--- a/tests/control_world.py
+++ b/tests/control_world.py
@@ -10,6 +10,7 @@
     ENDPOINTS,
     RECORDS,
     RULES,
+    TABLES,
     ControlState,
     Decoders,
     create_state,
@@ -112,6 +113,7 @@
             incarnation=incarnation,
         )
         self.sent[name] = []
+        self.unwatched.update((name, table) for table in TABLES)
 
     def run(self, seconds: float) -> None:
         """Lets time pass; each host reads the table and ticks."""
@@ -135,7 +137,8 @@
             RECORDS: list(self.rows.values()),
         }
         for table, rows in contents.items():
-            if (name, table) in self.unwatched:
+            known = self.hosts[name]['tables'][table]
+            if known['complete'] and (name, table) in self.unwatched:
                 continue
             answer = TableRows(
                 table,
--- a/tests/test_control_confirmation.py
+++ b/tests/test_control_confirmation.py
@@ -69,7 +69,7 @@
     """All readers of a zone may be lost at once."""
     name = min(fleet.hosts.keys() - list_watching(fleet))
     fleet.silent.add(name)
-    fleet.run(confirmation.OVERDUE_S + 1)
+    fleet.run(confirmation.UNHEARD_S + 1)
     assert name in list_watching(fleet)
     assert fleet.lease(name) == 'm1'
 
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -125,6 +125,7 @@
 
     async def follow() -> None:
         async with harness.feeds:
+            harness.feeds.set_watch(SetWatch(RULES, 1))
             await anyio.sleep(0.05)
 
     anyio.run(follow)
@@ -134,15 +135,40 @@
 def test_restarted_watch_goes_on(harness: Harness) -> None:
     """A watch on a silent connection is replaced without a new read."""
 
+    async def follow() -> None:
+        async with harness.feeds:
+            for _ in range(2):
+                harness.feeds.set_watch(SetWatch(RULES, 1))
+                await anyio.sleep(0.05)
+
+    anyio.run(follow)
+    assert harness.store.reads.count(RULES) == 1
+    assert harness.store.watches == [0, 0]
+
+
+def test_table_is_not_watched_before_it_is_wanted(harness: Harness) -> None:
+    """Most hosts of a large fleet need no watch, and each call is priced."""
+
     async def follow() -> None:
         async with harness.feeds:
             await anyio.sleep(0.05)
+
+    anyio.run(follow)
+    assert not harness.store.watches
+
+
+def test_watch_that_is_not_wanted_ends(harness: Harness) -> None:
+    """A host that stops to be a reader must stop to call the store."""
+
+    async def follow() -> None:
+        async with harness.feeds:
             harness.feeds.set_watch(SetWatch(RULES, 1))
             await anyio.sleep(0.05)
+            harness.feeds.set_watch(SetWatch(RULES, 0))
+            await anyio.sleep(0.5)
 
     anyio.run(follow)
-    assert harness.store.reads.count(RULES) == 1
-    assert harness.store.watches == [0, 0]
+    assert len(harness.store.watches) == 1
 
 
 def test_lost_answers_are_reported(harness: Harness) -> None:
