Serve callers below their rate after a loss of power and in a cut of a zone

Change: a host starts with its share of the tolerated slack, which the steady burst no longer uses; an owner that does not answer is left out for 1 s. Ruled out: a part of the burst for the start, which cost workspaces with a small burst their second operation (test_rate_is_shared_between_hosts).

--- a/poplarspoke/relay/quotas.py
+++ b/poplarspoke/relay/quotas.py
@@ -4,8 +4,9 @@
 share of them each, in a token bucket; how many depends on the burst, so that a
 share is worth some operations also where there are many hosts. The others
 borrow from the owners, which keep the room of lent tokens empty until the loan
-ends. A restarted host starts with an empty bucket. So the tokens of all hosts
-together never exceed rate and burst.
+ends. A host starts with its share of the tolerated slack only, since it cannot
+know what its earlier process has spent. So the tokens of all hosts together
+never exceed the bound, also if all of them start again at once.
 """
 
 import math
@@ -29,6 +30,9 @@
 MIN_OWNERS = 3
 # A round trip between zones takes 3 ms; datagrams may be lost.
 ASK_AGAIN_S = 0.02
+# An owner that did not answer within it is asked again after this time; zones
+# are cut off for some seconds.
+MUTE_S = 1.0
 # Tokens asked for cover the operations of this time ahead; what is lent and not
 # used until the loan ends is lost to the workspace.
 AHEAD_S = 0.2
@@ -63,9 +67,7 @@
             state['buckets'][rule.name] = bucket
         buckets.settle(bucket, now_s)
         bucket['rate'] = rule.rate * factor
-        bucket['burst'] = (
-            rule.burst * factor + settings.quota_slack * EXCESS_PART
-        )
+        bucket['burst'] = rule.burst * factor
     set_hosts(state, now_s)
 
 
@@ -76,12 +78,15 @@
     for name in state['buckets']:
         wanted = _find_share(state, name)
         known = state['shares'].get(name)
+        is_new = known is None
         if known is None or wanted <= known.fraction:
             known = Share(wanted, wanted, now_s)
         elif wanted != known.wanted:
             known = Share(known.fraction, wanted, now_s + GROW_S)
         state['shares'][name] = known
         _apply_share(state, name, now_s)
+        if is_new:
+            _fill(state, name, wanted)
 
 
 def grow_shares(state: RelayState, now_s: float) -> None:
@@ -115,6 +120,13 @@
     return 1 / len(owners)
 
 
+def _fill(state: RelayState, workspace: str, fraction: float) -> None:
+    """Gives a bucket the tokens that a host starts with."""
+    bucket = state['buckets'][workspace]
+    slack = state['settings'].quota_slack * EXCESS_PART
+    bucket['level'] = min(slack, bucket['burst']) * fraction
+
+
 def _apply_share(state: RelayState, workspace: str, now_s: float) -> None:
     bucket = state['buckets'][workspace]
     buckets.settle(bucket, now_s)
@@ -178,9 +190,14 @@
     ]
     if not owners:
         return []
+    _note_mute(state, workspace, now_s)
+    heard = [
+        name for name in owners if now_s >= state['mute_until_s'].get(name, 0)
+    ]
+    owner = state['rng'].choice(heard or owners)
     state['borrow_after_s'][workspace] = now_s + ASK_AGAIN_S
     state['borrow_id'] += 1
-    loan = Loan(workspace, now_s + LOAN_S)
+    loan = Loan(workspace, owner, now_s, now_s + LOAN_S)
     state['borrowed'][state['borrow_id']] = loan
     request = BorrowTokens(
         sender=own,
@@ -190,7 +207,16 @@
         incarnation=state['incarnation'],
         keep_room=True,
     )
-    return [ToHost(state['rng'].choice(owners), request)]
+    return [ToHost(owner, request)]
+
+
+def _note_mute(state: RelayState, workspace: str, now_s: float) -> None:
+    """Leaves owners out for a while that have not answered."""
+    for loan in state['borrowed'].values():
+        if loan.workspace != workspace:
+            continue
+        if now_s - loan.asked_s >= ASK_AGAIN_S:
+            state['mute_until_s'][loan.owner] = now_s + MUTE_S
 
 
 def _estimate_need(
@@ -236,6 +262,7 @@
     if loan is None or grant.incarnation != state['incarnation']:
         return False
     state['borrowed'].pop(grant.borrow_id)
+    state['mute_until_s'].pop(grant.sender, None)
     bucket = state['buckets'].get(loan.workspace)
     if bucket is None or now_s >= loan.until_s or not grant.tokens:
         return False
--- a/poplarspoke/relay/state.py
+++ b/poplarspoke/relay/state.py
@@ -42,6 +42,8 @@
     """Question to an owner for tokens; they end at ``until_s``."""
 
     workspace: str
+    owner: str
+    asked_s: float
     until_s: float
 
 
@@ -215,6 +217,7 @@
     """State of the relay of one host.
 
     Attributes:
+        mute_until_s: Until when owners that do not answer are left out.
         leased_since_s: When this host first had its lease on the primary that
             a service has now.
         expected: When a new primary of a service was first known to have
@@ -234,6 +237,7 @@
     borrow_id: int
     borrow_after_s: dict[str, float]
     borrowed: dict[int, Loan]
+    mute_until_s: dict[str, float]
     hosts: int
     peers: tuple[str, ...]
     leases: dict[str, PrimaryLease]
@@ -269,6 +273,7 @@
         borrow_id=0,
         borrow_after_s={},
         borrowed={},
+        mute_until_s={},
         hosts=0,
         peers=(),
         leases={},
--- a/tests/relay_world.py
+++ b/tests/relay_world.py
@@ -74,20 +74,36 @@
 
     Attributes:
         sent: Everything that the relay has returned.
+        start_tokens: Tokens of the workspace that the host started with.
     """
 
-    def __init__(self, *, rate: float = 1000, hosts: int = 1) -> None:
+    def __init__(
+        self,
+        *,
+        rate: float = 1000,
+        hosts: int = 1,
+        name: str = 'a',
+        slack: float = 0,
+    ) -> None:
         """Gives the relay rules, endpoints and a lease."""
         self.now_s = float(100)
         self.sent: list[Any] = []
         self._requests = 0
         settings = HostSettings(
-            name='a', zone='z1', grace_s=6, drain_s=7, evacuate_s=5
+            name=name,
+            zone='z1',
+            grace_s=6,
+            drain_s=7,
+            evacuate_s=5,
+            quota_slack=slack,
         )
         self.state = create_state(settings, rng=random.Random(7), incarnation=1)
-        peers = tuple(f'peer-{number}' for number in range(hosts - 1))
+        others = ['a', *(f'peer-{number}' for number in range(hosts - 1))]
+        others.remove(name)
+        peers = tuple(others)
         self.post(HostsKnown(hosts, peers))
         self.post(create_rules(rate=rate))
+        self.start_tokens = self.settle_bucket()
         self.set_endpoints()
         self.lease(PRIMARY)
         self.now_s += 2
