Do not claim the duty in a cut-off zone, and judge a primary less often

Cause, from the same log: the 13 hosts of the cut zone claimed the duty once a second each; one claim reached the store when the cut ended and stopped the holder. A primary that some hosts did not reach was judged up to 40 times a second, with a question to all hosts each time. Ruled out: waiting longer before each claim, which a dead holder would cost.

--- a/poplarspoke/control/decisions.py
+++ b/poplarspoke/control/decisions.py
@@ -359,7 +359,7 @@
 def _is_ready(state: ControlState, now_s: float) -> bool:
     if state['leaving'] or not state['ruleset'].version:
         return False
-    if state['isolated']:
+    if not isolation.is_ready(state):
         return False
     for name in (RULES, ENDPOINTS):
         if not state['tables'][name]['complete']:
--- a/poplarspoke/control/duty.py
+++ b/poplarspoke/control/duty.py
@@ -49,6 +49,9 @@
 TAKE_AGAIN_S = 1.0
 # Time for the other hosts to say whether an endpoint answers them.
 REACH_S = 0.45
+# A primary that some hosts do not reach is reported with each of their ticks;
+# each judgement asks all hosts.
+JUDGE_AGAIN_S = 0.2
 # An answer this recent speaks against a silent endpoint; it is shorter than the
 # silence that a host reports, so that the answer came after its start.
 RECENT_S = 0.35
@@ -298,6 +301,9 @@
     if report['reason'] != SILENT:
         state['reports'].pop(service)
         return handover.start(state, service, report['reason'], now_s)
+    judged_s = state['judged_s'].get(service, 0)
+    if judged_s and now_s - judged_s < JUDGE_AGAIN_S:
+        return []
     if not report['probed_s']:
         report['probed_s'] = now_s
         return _ask_all(state, report)
@@ -324,6 +330,7 @@
     probed = report['reach'].get(own)
     if silent > against and probed is not None and probed.silent:
         return [line, *handover.start(state, service, SILENT, now_s)]
+    state['judged_s'][service] = now_s
     return [line]
 
 
@@ -346,6 +353,9 @@
     """Writes that this host holds the duty, under a higher token."""
     if now_s < state['take_s'] or not state['tables'][RECORDS]['complete']:
         return []
+    # A claim that arrives when the cut ends would stop the holder's changes.
+    if state['isolated']:
+        return []
     state['take_s'] = now_s + TAKE_AGAIN_S
     duty = state['duty']
     record = DutyRecord(
--- a/poplarspoke/control/isolation.py
+++ b/poplarspoke/control/isolation.py
@@ -1,9 +1,10 @@
 """Notices that this zone is cut off from all others.
 
 Callers still reach a zone that is cut off, but most of what they ask needs a
-primary elsewhere. A host that no host of another zone answers, and that reaches
-less than half of the primaries, is not ready: the platform then sends the callers
-to other zones. A zone that leads most services goes on.
+primary elsewhere. A zone is cut off if no host and no primary of the others
+answers. Its hosts do not claim the duty then, and if less than half of the
+primaries are in it, they are not ready: the platform sends the callers to other
+zones. A zone that leads half of the services or more goes on.
 """
 
 from typing import Any
@@ -37,9 +38,11 @@
     outgoing: list[Any] = []
     asked_for_s = now_s - state['suspected_s']
     if asked_for_s >= UNANSWERED_S and not state['isolated']:
-        state['isolated'] = _reaches_few(state)
+        state['isolated'] = _are_primaries_silent(state)
         if state['isolated']:
-            outgoing.append(_log('zone cut off', 'not ready', asked_for_s))
+            state['leads_few'] = _leads_few(state)
+            outcome = 'not ready' if state['leads_few'] else 'ready'
+            outgoing.append(_log('zone cut off', outcome, asked_for_s))
     own = state['settings'].name
     asked = state['rng'].sample(far, min(ASKED_HOSTS, len(far)))
     outgoing.extend(ToHost(name, AskConfirmed(own, now_s)) for name in asked)
@@ -82,13 +85,27 @@
     return any(_is_far(state, endpoint) for endpoint in state['silent'])
 
 
-def _reaches_few(state: ControlState) -> bool:
-    """Returns whether the primaries of other zones are silent and many."""
-    primaries = [known.record.endpoint for known in state['primaries'].values()]
-    far = [name for name in primaries if _is_far(state, name)]
+def is_ready(state: ControlState) -> bool:
+    """Returns whether callers are served here as well as elsewhere."""
+    return not (state['isolated'] and state['leads_few'])
+
+
+def _are_primaries_silent(state: ControlState) -> bool:
+    """Returns whether primaries of other zones do not answer either."""
+    far = _list_far_primaries(state)
     silent = [name for name in far if name in state['silent']]
-    near = len(primaries) - len(far)
-    return len(silent) * 2 >= len(far) and near * 2 < len(primaries)
+    return bool(silent) and len(silent) * 2 >= len(far)
+
+
+def _leads_few(state: ControlState) -> bool:
+    primaries = len(state['primaries'])
+    near = primaries - len(_list_far_primaries(state))
+    return near * 2 < primaries
+
+
+def _list_far_primaries(state: ControlState) -> list[str]:
+    primaries = [known.record.endpoint for known in state['primaries'].values()]
+    return [name for name in primaries if _is_far(state, name)]
 
 
 def _is_far(state: ControlState, endpoint: str) -> bool:
--- a/poplarspoke/control/state.py
+++ b/poplarspoke/control/state.py
@@ -242,7 +242,9 @@
         far_heard_s: When a host of another zone last answered.
         suspected_s: Since when this zone may be cut off; 0 if it is not.
         suspect_s: When a cut may be suspected again.
-        isolated: Whether this zone is cut off and leads few services.
+        isolated: Whether this zone is cut off.
+        leads_few: Whether it led less than half of the services then.
+        judged_s: When a silent primary of a service was last found alive.
     """
 
     settings: HostSettings
@@ -280,6 +282,8 @@
     suspected_s: float
     suspect_s: float
     isolated: bool
+    leads_few: bool
+    judged_s: dict[str, float]
     leaving: bool
     ready: bool
     unanswered: set[str]
@@ -335,6 +339,8 @@
         suspected_s=0,
         suspect_s=0,
         isolated=False,
+        leads_few=False,
+        judged_s={},
         leaving=False,
         ready=False,
         unanswered=set(),
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -2,8 +2,9 @@
 
 import pytest
 
+from poplarspoke.generated.control import AskReach, WriteRecords
 from poplarspoke.generated.relay import EndpointSilent
-from tests.control_world import SERVICE, TICK_S, ControlWorld
+from tests.control_world import SERVICE, TICK_S, ControlWorld, find
 
 
 @pytest.fixture
@@ -67,3 +68,32 @@
     fleet.silent.update({'h0', 'h3'})
     play(fleet, 2, {'h1': 'm1', 'h4': 'm1'})
     assert list_ready(fleet) >= {'h1', 'h4', 'h2', 'h5'}
+
+
+def test_hosts_of_a_cut_zone_do_not_claim_the_duty(fleet: ControlWorld) -> None:
+    """Their claims reached the store when the cut ended, one each second."""
+    holder = fleet.record('duty')['holder']
+    zone = next(
+        fleet.find_zone(name)
+        for name in sorted(fleet.hosts)
+        if fleet.find_zone(name) not in {fleet.find_zone(holder), 'z1'}
+    )
+    near = [name for name in fleet.hosts if fleet.find_zone(name) == zone]
+    fleet.cut.add(zone)
+    play(fleet, 1, dict.fromkeys(near, 'm1'))
+    for name in near:
+        fleet.sent[name].clear()
+    play(fleet, 4, dict.fromkeys(near, 'm1'))
+    for name in near:
+        assert not find(fleet.sent[name], WriteRecords)
+
+
+def test_primary_that_few_hosts_reach_is_judged_now_and_then(
+    fleet: ControlWorld,
+) -> None:
+    """Each judgement asks all hosts; there were 40 a second."""
+    holder = fleet.record('duty')['holder']
+    fleet.sent[holder].clear()
+    others = [name for name in fleet.hosts if name != holder]
+    play(fleet, 2, dict.fromkeys(others[:2], 'm1'))
+    assert len(find(fleet.sent[holder], AskReach)) <= 10 * len(others)
