Tell the hosts of a zone that it is cut off

Change: a host that finds the zone cut off tells the others of its zone, which then ask the other zones themselves. Failed first: test_hosts_without_traffic_are_not_ready_either.

--- a/poplarspoke/control/decisions.py
+++ b/poplarspoke/control/decisions.py
@@ -46,6 +46,7 @@
     TableLost,
     TableRows,
     ViewNeeded,
+    ZoneCut,
 )
 from poplarspoke.generated.relay import (
     EndpointSilent,
@@ -173,6 +174,11 @@
     return confirmation.take_news(state, message, now_s)
 
 
+@decide.register
+def _(message: ZoneCut, state: ControlState, now_s: float) -> list[Any]:
+    return isolation.take_hint(state, message, now_s)
+
+
 @decide.register
 def _(message: ReportHeard, state: ControlState, now_s: float) -> list[Any]:
     duty.take_heard(state, message, now_s)
--- a/poplarspoke/control/isolation.py
+++ b/poplarspoke/control/isolation.py
@@ -1,16 +1,17 @@
 """Notices that this zone is cut off from all others.
 
 Callers still reach a zone that is cut off, but most of what they ask needs a
-primary elsewhere. A zone is cut off if no host and no primary of the others
-answers. Its hosts do not claim the duty then, and if less than half of the
-primaries are in it, they are not ready: the platform sends the callers to other
-zones. A zone that leads half of the services or more goes on.
+primary elsewhere. A zone is cut off if no host of the others answers and some
+of their endpoints do not either. Its hosts do not claim the duty then, and if
+less than half of the primaries are in it, they are not ready: the platform
+sends the callers to other zones once no host of the zone is ready. So hosts
+tell each other. A zone that leads half of the services or more goes on.
 """
 
 from typing import Any
 
 from poplarspoke.control.state import ControlState
-from poplarspoke.generated.control import AskConfirmed, Confirmed
+from poplarspoke.generated.control import AskConfirmed, Confirmed, ZoneCut
 from poplarspoke.generated.relay import LogDecision
 from poplarspoke.tasks import ToHost
 
@@ -20,6 +21,9 @@
 UNANSWERED_S = 0.3
 # Endpoints that do not answer are common; hosts are asked again after this.
 SUSPECT_AGAIN_S = 0.5
+# What another host of the zone has noticed counts for so long; hosts that have
+# little traffic notice no silent endpoint themselves.
+TOLD_S = 1.0
 # Longer than readers are asked in, so that a calm host asks nobody here.
 QUIET_S = 3.0
 
@@ -38,8 +42,9 @@
     outgoing: list[Any] = []
     asked_for_s = now_s - state['suspected_s']
     if asked_for_s >= UNANSWERED_S and not state['isolated']:
-        state['isolated'] = _are_primaries_silent(state)
+        state['isolated'] = _are_endpoints_silent(state, now_s)
         if state['isolated']:
+            outgoing.extend(_tell_zone(state))
             state['leads_few'] = _leads_few(state)
             outcome = 'not ready' if state['leads_few'] else 'ready'
             outgoing.append(_log('zone cut off', outcome, asked_for_s))
@@ -82,7 +87,7 @@
 def _is_suspicious(state: ControlState, now_s: float) -> bool:
     if state['far_heard_s'] and now_s - state['far_heard_s'] > QUIET_S:
         return True
-    return any(_is_far(state, endpoint) for endpoint in state['silent'])
+    return _are_endpoints_silent(state, now_s)
 
 
 def is_ready(state: ControlState) -> bool:
@@ -90,11 +95,30 @@
     return not (state['isolated'] and state['leads_few'])
 
 
-def _are_primaries_silent(state: ControlState) -> bool:
-    """Returns whether primaries of other zones do not answer either."""
-    far = _list_far_primaries(state)
-    silent = [name for name in far if name in state['silent']]
-    return bool(silent) and len(silent) * 2 >= len(far)
+def take_hint(state: ControlState, message: ZoneCut, now_s: float) -> list[Any]:
+    """Notes what another host of the zone has noticed."""
+    host = state['hosts'].get(message.sender)
+    if host is None or host.zone != state['settings'].zone:
+        return []
+    state['told_s'] = now_s
+    state['suspected_s'] = state['suspected_s'] or now_s
+    return []
+
+
+def _tell_zone(state: ControlState) -> list[Any]:
+    own = state['settings']
+    return [
+        ToHost(name, ZoneCut(own.name))
+        for name, host in state['hosts'].items()
+        if host.zone == own.zone and name != own.name
+    ]
+
+
+def _are_endpoints_silent(state: ControlState, now_s: float) -> bool:
+    """Returns whether endpoints of other zones do not answer either."""
+    if state['told_s'] and now_s - state['told_s'] < TOLD_S:
+        return True
+    return any(_is_far(state, endpoint) for endpoint in state['silent'])
 
 
 def _leads_few(state: ControlState) -> bool:
--- a/poplarspoke/control/state.py
+++ b/poplarspoke/control/state.py
@@ -243,6 +243,7 @@
         suspected_s: Since when this zone may be cut off; 0 if it is not.
         suspect_s: When a cut may be suspected again.
         isolated: Whether this zone is cut off.
+        told_s: When another host of the zone last noticed a cut.
         leads_few: Whether it led less than half of the services then.
         judged_s: When a silent primary of a service was last found alive.
     """
@@ -282,6 +283,7 @@
     suspected_s: float
     suspect_s: float
     isolated: bool
+    told_s: float
     leads_few: bool
     judged_s: dict[str, float]
     leaving: bool
@@ -339,6 +341,7 @@
         suspected_s=0,
         suspect_s=0,
         isolated=False,
+        told_s=0,
         leads_few=False,
         judged_s={},
         leaving=False,
--- a/poplarspoke/schema/control.capnp
+++ b/poplarspoke/schema/control.capnp
@@ -224,6 +224,11 @@
   records @3 :UInt64;
 }
 
+struct ZoneCut {
+  # Tells a host of the same zone that other zones do not answer the sender.
+  sender @0 :Text;
+}
+
 struct SetWatch {
   # Changes how long watches of a table last, and starts a new one.
   table @0 :Text;
@@ -245,5 +250,6 @@
     askConfirmed @9 :AskConfirmed;
     confirmed @10 :Confirmed;
     rowsChanged @11 :RowsChanged;
+    zoneCut @12 :ZoneCut;
   }
 }
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from poplarspoke.generated.control import AskReach, WriteRecords
+from poplarspoke.generated.control import AskReach, WriteRecords, ZoneCut
 from poplarspoke.generated.relay import EndpointSilent
 from tests.control_world import SERVICE, TICK_S, ControlWorld, find
 
@@ -33,6 +33,22 @@
     assert list_ready(fleet) == {'h0', 'h2', 'h3', 'h5'}
 
 
+def test_hosts_without_traffic_are_not_ready_either(
+    fleet: ControlWorld,
+) -> None:
+    """The platform leaves a zone only if none of its hosts is ready."""
+    fleet.cut.add('z2')
+    play(fleet, 1.5, {'h1': 'm1'})
+    assert list_ready(fleet) == {'h0', 'h2', 'h3', 'h5'}
+
+
+def test_host_that_is_told_asks_itself(fleet: ControlWorld) -> None:
+    """One host may be cut off alone; the others still reach all zones."""
+    fleet.post('h1', ZoneCut('h4'))
+    fleet.run(1)
+    assert list_ready(fleet) == set(fleet.hosts)
+
+
 def test_zone_that_leads_goes_on(fleet: ControlWorld) -> None:
     """Nobody else can serve the services whose primaries it has."""
     fleet.cut.add('z1')
