Give half of the slack back to the burst, and keep extra connections longer

Change: half of the slack for starts; connections beyond the share stay 1 s, 0.4 s only where there is no share; owners are left out after 40 ms for 0.5 s.

--- a/poplarspoke/relay/pool.py
+++ b/poplarspoke/relay/pool.py
@@ -36,10 +36,11 @@
 # drops those of hosts that have lost power after 3 s only; until then the same
 # hosts, started again, need others.
 KEPT_PART = 0.6
-# Unused connections beyond the host's share close after this time; with 70
-# hosts and 53 connections there is no share, and an endpoint gets 50 statements
-# a second.
-EXTRA_IDLE_S = 0.4
+# Unused connections beyond the host's share close after this time.
+EXTRA_IDLE_S = 1.0
+# With 70 hosts and 53 connections there is no share; an endpoint gets about 50
+# statements a second, each on a connection of its own.
+NO_SHARE_IDLE_S = 0.4
 # Unused connections within the share close after this time; endpoints close
 # them themselves after 60 s.
 IDLE_S = 20.0
@@ -206,10 +207,12 @@
 ) -> list[Any]:
     outgoing: list[Any] = []
     endpoint = state['endpoints'][name]
-    extra = len(endpoint['connections']) - share_connections(state, name)
+    share = share_connections(state, name)
+    extra = len(endpoint['connections']) - share
+    extra_s = EXTRA_IDLE_S if share else NO_SHARE_IDLE_S
     for number in list_idle(state, name):
         idle_s = now_s - state['connections'][number]['used_s']
-        limit_s = EXTRA_IDLE_S if extra > 0 else IDLE_S
+        limit_s = extra_s if extra > 0 else IDLE_S
         if idle_s < limit_s and not endpoint['leaving_since_s']:
             continue
         extra -= 1
--- a/poplarspoke/relay/quotas.py
+++ b/poplarspoke/relay/quotas.py
@@ -4,9 +4,9 @@
 share of them each, in a token bucket; how many depends on the burst, so that a
 share is worth some operations also where there are many hosts. The others
 borrow from the owners, which keep the room of lent tokens empty until the loan
-ends. A host starts with its share of the tolerated slack only, since it cannot
-know what its earlier process has spent. So the tokens of all hosts together
-never exceed the bound, also if all of them start again at once.
+ends. A host starts with its share of a part of the tolerated slack only, since
+it cannot know what its earlier process has spent. So the tokens of all hosts
+together never exceed the bound, also if all of them start again at once.
 """
 
 import math
@@ -24,15 +24,19 @@
 # Part of the tolerated excess that is used; the rest covers tokens that were lent
 # by a process that has started again since.
 EXCESS_PART = 0.85
+# Part of the tolerated slack that hosts start with. The rest adds to the burst,
+# without which a workspace with a small one is refused below its rate.
+START_PART = 0.5
 # An owner's share of the burst is worth at least so many operations.
 OWNER_TOKENS = 4
 # Some owners may be down, so a small workspace has this many too.
 MIN_OWNERS = 3
 # A round trip between zones takes 3 ms; datagrams may be lost.
 ASK_AGAIN_S = 0.02
-# An owner that did not answer within it is asked again after this time; zones
-# are cut off for some seconds.
-MUTE_S = 1.0
+# An owner that did not answer for so long is left out for a while; zones are cut
+# off for some seconds, and a busy host may take some tens of milliseconds.
+MUTE_AFTER_S = 0.04
+MUTE_S = 0.5
 # Tokens asked for cover the operations of this time ahead; what is lent and not
 # used until the loan ends is lost to the workspace.
 AHEAD_S = 0.2
@@ -67,7 +71,8 @@
             state['buckets'][rule.name] = bucket
         buckets.settle(bucket, now_s)
         bucket['rate'] = rule.rate * factor
-        bucket['burst'] = rule.burst * factor
+        slack = settings.quota_slack * EXCESS_PART * (1 - START_PART)
+        bucket['burst'] = rule.burst * factor + slack
     set_hosts(state, now_s)
 
 
@@ -123,7 +128,7 @@
 def _fill(state: RelayState, workspace: str, fraction: float) -> None:
     """Gives a bucket the tokens that a host starts with."""
     bucket = state['buckets'][workspace]
-    slack = state['settings'].quota_slack * EXCESS_PART
+    slack = state['settings'].quota_slack * EXCESS_PART * START_PART
     bucket['level'] = min(slack, bucket['burst']) * fraction
 
 
@@ -215,7 +220,7 @@
     for loan in state['borrowed'].values():
         if loan.workspace != workspace:
             continue
-        if now_s - loan.asked_s >= ASK_AGAIN_S:
+        if now_s - loan.asked_s >= MUTE_AFTER_S:
             state['mute_until_s'][loan.owner] = now_s + MUTE_S
 
 
--- a/tests/test_restart_connections.py
+++ b/tests/test_restart_connections.py
@@ -30,5 +30,5 @@
     world.start(1, 'primary')
     world.reply(world.forward(world.read(1)))
     assert world.state['endpoints'][PRIMARY]['connections']
-    world.tick(pool.EXTRA_IDLE_S + 0.1)
+    world.tick(pool.NO_SHARE_IDLE_S + 0.1)
     assert not world.state['endpoints'][PRIMARY]['connections']
