Watch the records for longer than a store that drops its history is silent

Found by reading: watches of such a store hear nothing for 1 s and are cut then; a watch of 1 s could end within it and confirm records that had changed.

--- a/poplarspoke/control/state.py
+++ b/poplarspoke/control/state.py
@@ -22,8 +22,10 @@
 RECORDS = 'records'
 TABLES = (RULES, ENDPOINTS, RECORDS)
 # The age of what a reader has confirmed lies between one and two watches; it is
-# taken off the time that leases bridge while the store is away.
-SHORT_WATCH_S = 1.0
+# taken off the time that leases bridge while the store is away. Watches of a
+# store that drops its history hear nothing for 1 s and are then cut; a shorter
+# one could end within that time, as if nothing had changed.
+SHORT_WATCH_S = 1.2
 LONG_WATCH_S = 20.0
 NO_WATCH_S = 0
 # How long a reader watches each table. The records confirm its leases;
