Replace a holder of the duty that the store does not answer

Change: the holder watches the store itself; one that the store does not answer says that it does not hold the duty. Failed first: test_holder_that_the_store_refuses_is_replaced.

--- a/poplarspoke/control/confirmation.py
+++ b/poplarspoke/control/confirmation.py
@@ -7,11 +7,11 @@
 show a watch whose connection has gone silent.
 """
 
-from typing import Any
+from typing import Any, NamedTuple
 
 import xxhash
 
-from poplarspoke.control import isolation, tables
+from poplarspoke.control import duty, isolation, tables
 from poplarspoke.control.state import (
     NO_WATCH_S,
     RECORDS,
@@ -51,6 +51,14 @@
 FETCH_AGAIN_S = 0.2
 
 
+class Versions(NamedTuple):
+    """Version of the newest change of each table."""
+
+    rules: int
+    endpoints: int
+    records: int
+
+
 def check(state: ControlState, now_s: float) -> list[Any]:
     """Asks a reader, and sets the length of this host's own watches."""
     if not state['tables'][RECORDS]['complete']:
@@ -76,11 +84,15 @@
 
 def answer(state: ControlState, message: AskConfirmed, now_s: float) -> ToHost:
     """Returns what this host has read of the store."""
+    newest = list_newest(state)
     confirmed = Confirmed(
         state['settings'].name,
         message.asked_s,
         _age(state, now_s),
-        *list_newest(state),
+        newest.rules,
+        newest.endpoints,
+        newest.records,
+        holds=duty.is_able(state, now_s),
     )
     return ToHost(message.sender, confirmed)
 
@@ -90,7 +102,7 @@
     outgoing = isolation.take_answer(state, message, now_s)
     if message.sender in _list_readers(state):
         state['reader_heard_s'] = now_s
-    theirs = (message.rules, message.endpoints, message.records)
+    theirs = Versions(message.rules, message.endpoints, message.records)
     outgoing.extend(_catch_up(state, message.sender, theirs, now_s))
     records = state['tables'][RECORDS]
     if message.records > records['version']:
@@ -108,11 +120,11 @@
     now_s: float,
 ) -> list[Any]:
     """Fetches rows that a reader has seen change."""
-    theirs = (message.rules, message.endpoints, message.records)
+    theirs = Versions(message.rules, message.endpoints, message.records)
     return _catch_up(state, message.sender, theirs, now_s)
 
 
-def tell_news(state: ControlState, before: tuple[int, ...]) -> list[Any]:
+def tell_news(state: ControlState, before: Versions) -> list[Any]:
     """Tells the hosts of this zone that do not watch the store of changes.
 
     Args:
@@ -136,7 +148,7 @@
 def _catch_up(
     state: ControlState,
     sender: str,
-    theirs: tuple[int, ...],
+    theirs: Versions,
     now_s: float,
 ) -> list[Any]:
     """Gets rows that a peer has and this host lacks."""
@@ -172,7 +184,8 @@
     unheard_s = now_s - state['reader_heard_s']
     if unheard_s > UNHEARD_S or _age(state, now_s) > OVERDUE_S:
         state['watch_until_s'] = now_s + WATCH_KEPT_S
-    watches = own in _list_readers(state) or now_s < state['watch_until_s']
+    kept = now_s < state['watch_until_s'] or duty.is_holder(state)
+    watches = kept or own in _list_readers(state)
     outgoing: list[Any] = []
     for table, reader_s in WATCHES_S.items():
         wait_s = reader_s if watches else NO_WATCH_S
@@ -199,9 +212,9 @@
     return readers
 
 
-def list_newest(state: ControlState) -> tuple[int, ...]:
+def list_newest(state: ControlState) -> Versions:
     """Returns the version of the newest change of each table."""
-    return tuple(
+    return Versions._make(
         max(
             (row.version for row in state['tables'][table]['rows'].values()),
             default=0,
--- a/poplarspoke/control/decisions.py
+++ b/poplarspoke/control/decisions.py
@@ -79,6 +79,8 @@
 
 @decide.register
 def _(message: TableRows, state: ControlState, now_s: float) -> list[Any]:
+    if not message.relayed:
+        state['store_heard_s'] = now_s
     before = confirmation.list_newest(state)
     outgoing = tables.apply_rows(state, message, now_s)
     outgoing.extend(confirmation.tell_news(state, before))
--- a/poplarspoke/control/duty.py
+++ b/poplarspoke/control/duty.py
@@ -42,6 +42,9 @@
 ALONE_S = 12.0
 # Other hosts that are asked whether they hear the holder.
 ASKED_PEERS = 2
+# The holder watches the store in turns of 1.2 s. One that the store does not
+# answer says so to the others, since it can change nothing.
+STORE_S = 2.5
 # Hosts that want the duty wait up to so long more, so that one comes first.
 TAKE_SPREAD_S = 0.3
 # A write of the duty that failed is repeated after this time; calls of a store
@@ -68,6 +71,11 @@
     return record.holder == own and (record.incarnation == state['incarnation'])
 
 
+def is_able(state: ControlState, now_s: float) -> bool:
+    """Returns whether this process holds the duty and reaches the store."""
+    return is_holder(state) and now_s - state['store_heard_s'] < STORE_S
+
+
 def check(state: ControlState, now_s: float) -> list[Any]:
     """Judges all primaries and reports those to be replaced."""
     outgoing: list[Any] = []
@@ -94,7 +102,7 @@
     now_s: float,
 ) -> list[Any]:
     """Answers a report; the holder judges it, others pass it on."""
-    if not is_holder(state):
+    if not is_able(state, now_s):
         return _pass_on(state, message, now_s)
     heard = ReportHeard(
         state['settings'].name,
@@ -261,7 +269,8 @@
     if state['leaving']:
         return []
     if is_holder(state):
-        return _act(state, report, now_s)
+        able = is_able(state, now_s)
+        return _act(state, report, now_s) if able else []
     holder = state['duty'].record.holder
     own = state['settings'].name
     if holder in {'', own} or _is_holder_gone(state, report, now_s):
--- a/poplarspoke/control/state.py
+++ b/poplarspoke/control/state.py
@@ -231,6 +231,7 @@
         unanswered: Hosts that a change of primary has waited for in vain.
         retired_since_s: When a host was first seen to be marked.
         retire_s: When hosts are marked or removed next.
+        store_heard_s: When the store last answered this host itself.
         holder_seen_s: When the holder was last heard, or took the duty.
         holder_suspect_s: Since when it may be gone; 0 if it is not.
         others_seen_s: When another host has answered since then.
@@ -293,6 +294,7 @@
     unanswered: set[str]
     retired_since_s: dict[str, float]
     retire_s: float
+    store_heard_s: float
     holder_seen_s: float
     holder_suspect_s: float
     others_seen_s: float
@@ -351,6 +353,7 @@
         unanswered=set(),
         retired_since_s={},
         retire_s=0,
+        store_heard_s=0,
         holder_seen_s=0,
         holder_suspect_s=0,
         others_seen_s=0,
--- a/poplarspoke/control/succession.py
+++ b/poplarspoke/control/succession.py
@@ -3,7 +3,8 @@
 A holder that died would only be missed when a primary has to be changed, and
 its successor waits for orders of the old one before its first. So the duty
 passes on beforehand: to the first host if nobody holds it, to the new process
-of a holder that started again, and to another host if the holder is silent.
+of a holder that started again, and to another host if the holder is silent
+or the store does not answer it.
 """
 
 from typing import Any
@@ -20,9 +21,10 @@
 QUIET_S = 2.5
 # It is replaced if it stays silent for this time more while others answer.
 SUSPECT_S = 0.8
-# The successors in their order, one after the other, so that one comes first.
+# The successors in their order, one after the other, so that one comes first;
+# the store may turn some of them away.
 TURN_S = 0.6
-SUCCESSORS = 4
+SUCCESSORS = 8
 
 
 def check(state: ControlState, now_s: float) -> list[Any]:
@@ -45,7 +47,7 @@
 
 def hear(state: ControlState, message: Confirmed, now_s: float) -> None:
     """Notes an answer of the holder, or of another host."""
-    if message.sender == state['duty'].record.holder:
+    if message.sender == state['duty'].record.holder and message.holds:
         state['holder_seen_s'] = now_s
         state['holder_suspect_s'] = 0
         return
--- a/poplarspoke/control/views.py
+++ b/poplarspoke/control/views.py
@@ -67,6 +67,7 @@
                 rows=table.rows,
                 version=table.version,
                 asked_s=asked_s - table.age_s,
+                relayed=True,
             )
             self._post(rows)
 
--- a/poplarspoke/schema/control.capnp
+++ b/poplarspoke/schema/control.capnp
@@ -59,6 +59,7 @@
   version @2 :UInt64;  # Newest version that the answer covers.
   askedS @3 :Float64;  # Boot clock at which the question was sent.
   complete @4 :Bool;  # All rows of the table, not only changed ones.
+  relayed @5 :Bool;  # Read from a peer, not from the store.
 }
 
 struct TableLost {
@@ -154,7 +155,7 @@
   service @1 :Text;
   token @2 :UInt64;
   holderAgoS @3 :Float64;  # Since the sender last heard the holder.
-  holds @4 :Bool;  # The process that answers holds the duty.
+  holds @4 :Bool;  # The sender holds the duty and reaches the store.
 }
 
 struct AskRelease {
@@ -214,6 +215,7 @@
   rules @3 :UInt64;
   endpoints @4 :UInt64;
   records @5 :UInt64;
+  holds @6 :Bool;  # The sender holds the duty and reaches the store.
 }
 
 struct RowsChanged {
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -110,3 +110,12 @@
     assert not any(
         world.record(f'host/{name}')['retired'] for name in world.hosts
     )
+
+
+def test_holder_that_the_store_refuses_is_replaced(world: ControlWorld) -> None:
+    """It answered all reports, and a dead primary stayed for 7 s."""
+    holder = world.record('duty')['holder']
+    world.deaf.add(holder)
+    world.run(2)
+    assert count_gap(world) < 6
+    assert world.record('duty')['holder'] != holder
