Close idle sessions of a cut-off zone, so that they reach other zones

Change: idle sessions are closed once the platform has had time for two probes. Ruled out: closing at once, since callers would come back to the same zone. Failed first: test_idle_sessions_move_to_other_zones (no such message before).

--- a/poplarspoke/control/isolation.py
+++ b/poplarspoke/control/isolation.py
@@ -5,15 +5,16 @@
 of their endpoints do not either. Its hosts do not claim the duty then, and if
 less than half of the primaries are in it, they are not ready: the platform
 sends the callers to other zones once no host of the zone is ready. So hosts
-tell each other. A zone that leads half of the services or more goes on.
+tell each other, and the relay closes idle sessions, which would stay. A zone that leads half of the services or more goes on.
 """
 
 from typing import Any
 
 from poplarspoke.control.state import ControlState
+from poplarspoke.control.tables import RELAY
 from poplarspoke.generated.control import AskConfirmed, Confirmed, ZoneCut
-from poplarspoke.generated.relay import LogDecision
-from poplarspoke.tasks import ToHost
+from poplarspoke.generated.relay import LogDecision, ReadinessChanged
+from poplarspoke.tasks import ToHost, ToTask
 
 # Hosts of other zones that are asked in each round of 0.1 s.
 ASKED_HOSTS = 3
@@ -48,6 +49,7 @@
             state['leads_few'] = _leads_few(state)
             outcome = 'not ready' if state['leads_few'] else 'ready'
             outgoing.append(_log('zone cut off', outcome, asked_for_s))
+            outgoing.append(_tell_relay(state))
     own = state['settings'].name
     asked = state['rng'].sample(far, min(ASKED_HOSTS, len(far)))
     outgoing.extend(ToHost(name, AskConfirmed(own, now_s)) for name in asked)
@@ -72,7 +74,12 @@
     if not state['isolated']:
         return []
     state['isolated'] = False
-    return [_log('zone reached again', 'ready', asked_for_s)]
+    line = _log('zone reached again', 'ready', asked_for_s)
+    return [line, _tell_relay(state)]
+
+
+def _tell_relay(state: ControlState) -> ToTask:
+    return ToTask(RELAY, ReadinessChanged(is_ready(state)))
 
 
 def _list_far_hosts(state: ControlState) -> list[str]:
--- a/poplarspoke/relay/decisions.py
+++ b/poplarspoke/relay/decisions.py
@@ -24,6 +24,7 @@
     LeaseRevoked,
     LeasesRenewed,
     PrepareStatement,
+    ReadinessChanged,
     ReadItem,
     RefuseSession,
     ReleaseIdle,
@@ -284,6 +285,12 @@
     return [ToHost(message.sender, reply)]
 
 
+@decide.register
+def _(message: ReadinessChanged, state: RelayState, now_s: float) -> list[Any]:
+    state['unready_s'] = 0 if message.ready else now_s
+    return []
+
+
 @decide.register
 def _(message: ShutDown, state: RelayState, now_s: float) -> list[Any]:
     state['leaving_s'] = now_s
--- a/poplarspoke/relay/state.py
+++ b/poplarspoke/relay/state.py
@@ -218,6 +218,7 @@
 
     Attributes:
         mute_until_s: Until when owners that do not answer are left out.
+        unready_s: Since when callers are served better elsewhere; 0 if not.
         leased_since_s: When this host first had its lease on the primary that
             a service has now.
         expected: When a new primary of a service was first known to have
@@ -250,6 +251,7 @@
     connections: dict[int, Connection]
     next_connection: int
     leaving_s: float
+    unready_s: float
 
 
 def create_state(
@@ -286,6 +288,7 @@
         connections={},
         next_connection=1,
         leaving_s=0,
+        unready_s=0,
     )
 
 
--- a/poplarspoke/relay/upkeep.py
+++ b/poplarspoke/relay/upkeep.py
@@ -34,6 +34,11 @@
 AVOID_S = 0.1
 MAX_AVOID_S = 1.0
 MAX_DOUBLINGS = 10
+# The platform probes each second and leaves a host out after two misses; callers
+# that come back sooner may reach the same zone again.
+MOVE_S = 2.2
+# They come back spread over this time.
+MOVE_SPREAD_S = 0.4
 # Groups of sessions that close at the same moment of a shutdown.
 CLOSE_GROUPS = 16
 
@@ -153,8 +158,13 @@
     now_s: float,
 ) -> bool:
     """Spreads the closes, so that callers do not all reconnect at once."""
-    leaving_s = state['leaving_s']
-    if not leaving_s or now_s - session['used_s'] < CLOSE_QUIET_S:
+    if now_s - session['used_s'] < CLOSE_QUIET_S:
         return False
     part = (session['session'] % CLOSE_GROUPS) / CLOSE_GROUPS
+    unready_s = state['unready_s']
+    if unready_s and now_s - unready_s > MOVE_S + part * MOVE_SPREAD_S:
+        return True
+    leaving_s = state['leaving_s']
+    if not leaving_s:
+        return False
     return now_s - leaving_s > part * CLOSE_SPREAD_S
--- a/poplarspoke/schema/relay.capnp
+++ b/poplarspoke/schema/relay.capnp
@@ -214,6 +214,11 @@
   graceS @0 :Float64;
 }
 
+struct ReadinessChanged {
+  # Whether callers are served better by hosts of other zones now.
+  ready @0 :Bool;
+}
+
 struct EndpointSilent {
   # An endpoint does not answer this host.
   endpoint @0 :Text;
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -17,6 +17,7 @@
     LeasesRenewed,
     OpenConnection,
     PrepareStatement,
+    ReadinessChanged,
     ReadItem,
     RefuseSession,
     ReleaseIdle,
@@ -583,6 +584,28 @@
     assert answer.code is AnswerCode.DONE
 
 
+def test_idle_sessions_move_to_other_zones(world: RelayWorld) -> None:
+    """Open sessions stayed with a cut-off zone that refused them."""
+    world.start(1, 'primary')
+    world.start(2, 'primary')
+    begun = world.post(BeginTransaction(2, 'r1'))
+    world.reply(world.forward(begun), phase=SessionPhase.OPEN)
+    world.post(ReadinessChanged(ready=False))
+    # Before the platform has left the zone out, they would come back to it.
+    assert not find(world.tick(upkeep.MOVE_S - 0.1), EndSession)
+    ended = find(world.tick(0.6), EndSession)
+    assert [entry.session for entry in ended] == [1]
+
+
+def test_sessions_stay_after_a_short_cut(world: RelayWorld) -> None:
+    """A host that is ready again serves its callers itself."""
+    world.start(1, 'primary')
+    world.post(ReadinessChanged(ready=False))
+    world.tick(1)
+    world.post(ReadinessChanged(ready=True))
+    assert not find(world.tick(3), EndSession)
+
+
 def test_pipelined_statements_run_in_order(world: RelayWorld) -> None:
     """The second statement must wait for the answer to the first."""
     world.start(1, 'primary')
