End a cut that no host of another zone is left to end

Found by reading: with no registered host left in other zones the control task forgot the cut without telling the relay, which went on to close idle sessions. Failed first: test_cut_ends_when_other_zones_have_no_hosts.

--- a/poplarspoke/control/confirmation.py
+++ b/poplarspoke/control/confirmation.py
@@ -129,7 +129,7 @@
 
     Args:
         state: State of the control task.
-        before: What ``list_versions`` returned before the change.
+        before: What ``list_newest`` returned before the change.
     """
     newest = list_newest(state)
     readers = _list_readers(state)
--- a/poplarspoke/control/isolation.py
+++ b/poplarspoke/control/isolation.py
@@ -5,7 +5,8 @@
 of their endpoints do not either. Its hosts do not claim the duty then, and if
 less than half of the primaries are in it, they are not ready: the platform
 sends the callers to other zones once no host of the zone is ready. So hosts
-tell each other, and the relay closes idle sessions, which would stay. A zone that leads half of the services or more goes on.
+tell each other, and the relay closes idle sessions, which would stay. A zone
+that leads half of the services or more goes on.
 """
 
 from typing import Any
@@ -27,6 +28,7 @@
 TOLD_S = 1.0
 # Longer than readers are asked in, so that a calm host asks nobody here.
 QUIET_S = 3.0
+ANSWERS = 'answers of hosts in other zones'
 
 
 def check(state: ControlState, now_s: float) -> list[Any]:
@@ -34,8 +36,7 @@
     far = _list_far_hosts(state)
     if not far:
         state['suspected_s'] = 0
-        state['isolated'] = False
-        return []
+        return _end(state, 'other zones have no hosts', 0)
     if not state['suspected_s']:
         if now_s < state['suspect_s'] or not _is_suspicious(state, now_s):
             return []
@@ -48,7 +49,8 @@
             outgoing.extend(_tell_zone(state))
             state['leads_few'] = _leads_few(state)
             outcome = 'not ready' if state['leads_few'] else 'ready'
-            outgoing.append(_log('zone cut off', outcome, asked_for_s))
+            line = _log('zone cut off', outcome, ANSWERS, asked_for_s)
+            outgoing.append(line)
             outgoing.append(_tell_relay(state))
     own = state['settings'].name
     asked = state['rng'].sample(far, min(ASKED_HOSTS, len(far)))
@@ -71,10 +73,14 @@
     asked_for_s = now_s - state['suspected_s']
     state['suspected_s'] = 0
     state['suspect_s'] = now_s + SUSPECT_AGAIN_S
+    return _end(state, ANSWERS, asked_for_s)
+
+
+def _end(state: ControlState, reason: str, age_s: float) -> list[Any]:
     if not state['isolated']:
         return []
     state['isolated'] = False
-    line = _log('zone reached again', 'ready', asked_for_s)
+    line = _log('zone reached again', 'ready', reason, age_s)
     return [line, _tell_relay(state)]
 
 
@@ -144,10 +150,15 @@
     return entry is not None and entry.zone != state['settings'].zone
 
 
-def _log(event: str, outcome: str, age_s: float) -> LogDecision:
+def _log(
+    event: str,
+    outcome: str,
+    reason: str,
+    age_s: float,
+) -> LogDecision:
     return LogDecision(
         event=event,
         outcome=outcome,
-        reason='answers of hosts in other zones',
+        reason=reason,
         age_s=age_s,
     )
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -2,8 +2,9 @@
 
 import pytest
 
+from poplarspoke.generated.common import Tick
 from poplarspoke.generated.control import AskReach, WriteRecords, ZoneCut
-from poplarspoke.generated.relay import EndpointSilent
+from poplarspoke.generated.relay import EndpointSilent, ReadinessChanged
 from tests.control_world import SERVICE, TICK_S, ControlWorld, find
 
 
@@ -113,3 +114,16 @@
     others = [name for name in fleet.hosts if name != holder]
     play(fleet, 2, dict.fromkeys(others[:2], 'm1'))
     assert len(find(fleet.sent[holder], AskReach)) <= 10 * len(others)
+
+
+def test_cut_ends_when_other_zones_have_no_hosts(fleet: ControlWorld) -> None:
+    """The relay went on to close idle sessions, which had nowhere to go."""
+    fleet.cut.add('z2')
+    play(fleet, 1, {'h1': 'm1'})
+    state = fleet.hosts['h1']
+    fleet.sent['h1'].clear()
+    for name in ('h0', 'h2', 'h3', 'h5'):
+        state['hosts'].pop(name)
+    fleet.post('h1', Tick())
+    assert find(fleet.sent['h1'], ReadinessChanged) == [ReadinessChanged(True)]
+    assert state['ready']
