Serve the age and the version of each table as metrics

On-call could not tell a watch that is silent from one that has nothing to report: the age of a table appeared only in the line of a failed read.

--- /dev/null
+++ b/poplarspoke/control/metrics.py
@@ -0,0 +1,36 @@
+"""Metrics of the control task in the Prometheus format."""
+
+from prometheus_client import CollectorRegistry, Gauge
+
+from poplarspoke.control.state import ControlState
+
+
+class ControlMetrics:
+    """Gauges of what this host knows of the metadata store."""
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        """Creates the gauges in a registry, all zero."""
+        self._age = Gauge(
+            'poplarspoke_control_table_age_seconds',
+            'Time since the request whose answer confirmed the table.',
+            ('table',),
+            registry=registry,
+        )
+        self._version = Gauge(
+            'poplarspoke_control_table_version',
+            'Newest version of the store that the table covers.',
+            ('table',),
+            registry=registry,
+        )
+        self._configuration = Gauge(
+            'poplarspoke_control_configuration_version',
+            'Version of the configuration in force.',
+            registry=registry,
+        )
+
+    def observe(self, state: ControlState, now_s: float) -> None:
+        """Sets the gauges from the state."""
+        for name, table in state['tables'].items():
+            self._age.labels(name).set(now_s - table['confirmed_s'])
+            self._version.labels(name).set(table['version'])
+        self._configuration.set(state['ruleset'].version)
--- a/poplarspoke/session_host.py
+++ b/poplarspoke/session_host.py
@@ -19,6 +19,7 @@
 from poplarspoke.control import state as control_state
 from poplarspoke.control.feeds import Feeds, MetadataClient
 from poplarspoke.control.links import Links
+from poplarspoke.control.metrics import ControlMetrics
 from poplarspoke.control.queries import Queries, QueryCodec
 from poplarspoke.control.views import VIEW_PATH, Views, encode_view
 from poplarspoke.generated.control import (
@@ -116,6 +117,7 @@
             deliver=self._deliver,
             log=self.write_log,
         )
+        self._control_metrics = ControlMetrics(self.relay.metrics.registry)
         self.links = Links(
             settings.ip,
             settings.peer_port,
@@ -212,6 +214,9 @@
             )
         if request.path == METRICS_PATH:
             self.relay.metrics.observe(self.relay.state)
+            self._control_metrics.observe(
+                self.control.state, self._dependencies.now_s()
+            )
             return web.Response(
                 OK,
                 self.relay.metrics.render(),
--- a/tests/test_session_host.py
+++ b/tests/test_session_host.py
@@ -392,5 +392,7 @@
         await caller.query('READ 1')
         metrics = await send_get(site.settings[0].control_address, '/metrics')
         assert b'poplarspoke_relay_statements_total' in metrics.body
+        assert b'poplarspoke_control_table_age_seconds' in metrics.body
+        assert b'poplarspoke_control_configuration_version 1.0' in metrics.body
 
     run_steps(1, steps)
