--- a/poplarspoke/standins/metadata.py
+++ b/poplarspoke/standins/metadata.py
@@ -5,6 +5,8 @@
 """
 
 import base64
+import contextvars
+import itertools
 import json
 from collections.abc import Callable
 from typing import Any, NamedTuple, Self
@@ -19,6 +21,12 @@
 HTTP_CONDITION_FAILED = 412
 HTTP_DOWN = 503
 
+# Each connection is served by its own task and so has its own context.
+_connection: contextvars.ContextVar[int] = contextvars.ContextVar(
+    'connection',
+    default=0,
+)
+
 
 class Promotion(NamedTuple):
     """A promotion that was ordered.
@@ -57,6 +65,10 @@
         self._version = 0
         self._rows: dict[tuple[str, str], dict[str, Any]] = {}
         self._changed = anyio.Event()
+        self._numbers = itertools.count(1)
+        # Table that each connection has called for last, by its number.
+        self._tables: dict[int, str] = {}
+        self._silent: set[int] = set()
         self._server = web.HttpServer(self._serve, host='127.0.0.1', port=0)
 
     async def __aenter__(self) -> Self:
@@ -76,12 +88,34 @@
         self._store_row(table, key, base64.b64encode(text).decode())
         self._notify()
 
+    def silence(self, table: str = '') -> None:
+        """Stops answering on connections that are open now.
+
+        Args:
+            table: Only connections that have called for this table last, or
+                all if it is empty.
+        """
+        self._silent.update(
+            number
+            for number, called in self._tables.items()
+            if table in {'', called}
+        )
+
     async def _serve(self, request: web.Request) -> web.Response:
+        response = await self._answer(request)
+        if _connection.get() in self._silent:
+            await anyio.sleep_forever()
+        return response
+
+    async def _answer(self, request: web.Request) -> web.Response:
         self.calls += 1
         if self.down:
             return web.Response(HTTP_DOWN)
         url = urlsplit(request.path)
         query = {name: found[0] for name, found in parse_qs(url.query).items()}
+        number = _connection.get() or next(self._numbers)
+        _connection.set(number)
+        self._tables[number] = query.get('table', '')
         if url.path == '/rows-get':
             return self._build_answer(self._list_rows(query['table'], 0))
         if url.path == '/rows-feed':
