Replace watches of the store that are silently dead

Callers were handled as an older configuration said for up to 14.8 s after a change was acknowledged, and routes that had been added were not served, after open connections had fallen silent without a reset.

Cause: a watch without an answer looks as if nothing had changed. If the connections of all hosts fall silent, no peer has any.

Now the version of the store in any answer reveals rows that a watch has not covered; that table is queried on a new connection, and a watch that missed them is replaced. A call that times out restarts the older ones too. A store without changes gets no further call.

Ruled out: shorter watches of all tables, which cost a call for each table and watch interval also when nothing changes.

--- a/poplarspoke/control/decisions.py
+++ b/poplarspoke/control/decisions.py
@@ -46,6 +46,7 @@
     TableReadFailed,
     TableRows,
     ViewNeeded,
+    WatchReplaced,
     ZoneCut,
 )
 from poplarspoke.generated.relay import (
@@ -106,6 +107,16 @@
     return [line]
 
 
+@decide.register
+def _(message: WatchReplaced, state: ControlState, now_s: float) -> list[Any]:
+    line = LogDecision(
+        event='watch restarted',
+        outcome=message.table,
+        reason=f'no answer although rows changed after {message.version}',
+    )
+    return [line]
+
+
 @decide.register
 def _(message: Tick, state: ControlState, now_s: float) -> list[Any]:
     outgoing: list[Any] = []
--- a/poplarspoke/control/feeds.py
+++ b/poplarspoke/control/feeds.py
@@ -3,6 +3,11 @@
 Each table is read once and then watched, unless other hosts watch it for this
 one. A watch whose history the store has discarded reads the whole table again;
 the local versions never decrease.
+
+A connection may fall silent without a reset, and a watch without an answer then
+looks as if nothing had changed. All tables share one version, so each answer also
+shows whether the store has changes that a watch has not covered. Such a table is
+queried on a new connection.
 """
 
 import random
@@ -12,7 +17,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from poplarspoke import errors
+from poplarspoke import errors, web
 from poplarspoke.control.state import ENDPOINTS, NO_WATCH_S, RULES, TABLES
 from poplarspoke.control.tables import HOST_PREFIX
 from poplarspoke.generated.control import (
@@ -22,6 +27,7 @@
     SetWatch,
     TableReadFailed,
     TableRows,
+    WatchReplaced,
     WriteRecords,
 )
 
@@ -37,6 +43,9 @@
 MAX_FIRST_BACKOFF_S = 0.45
 BACKOFF_FACTOR = 1.5
 MAX_BACKOFF_S = 1.0
+# Time for a watch to answer by itself when another answer shows a newer version.
+# It is longer than the delay that batches changed rows.
+VERIFY_DELAY_S = 0.5
 
 
 class MetadataClient(Protocol):
@@ -113,6 +122,11 @@
         self._scopes: dict[str, anyio.CancelScope] = {}
         self._needed = {table: anyio.Event() for table in TABLES}
         self._failures = dict.fromkeys(TABLES, 0)
+        # When the current call of each table was sent.
+        self._asked_s = dict.fromkeys(TABLES, float(0))
+        # Newest version of the store that any answer has shown.
+        self._newest = 0
+        self._verified: set[str] = set()
 
     async def __aenter__(self) -> Self:
         """Starts one watch for each table."""
@@ -131,9 +145,7 @@
         self._waits_s[message.table] = message.wait_s
         if message.wait_s:
             self._needed[message.table].set()
-        scope = self._scopes.get(message.table)
-        if scope is not None:
-            scope.cancel()
+        self._restart(message.table)
 
     def send_write(self, change: WriteRecords) -> None:
         """Starts a write; its outcome is posted to the control task."""
@@ -143,6 +155,12 @@
         """Starts an order; its outcome is posted to the control task."""
         self._group.start_soon(self._promote, order)
 
+    def _restart(self, table: str) -> None:
+        """Ends the current call of a table; a new one starts at once."""
+        scope = self._scopes.get(table)
+        if scope is not None:
+            scope.cancel()
+
     async def _watch(self, table: str) -> None:
         while True:
             if self._versions[table] is not None and not self._waits_s[table]:
@@ -166,12 +184,25 @@
                     await self._follow(client, table)
         except errors.PoplarspokeError as exc:
             self._post(TableReadFailed(table, str(exc)))
+            if isinstance(exc, web.AnswerTimeoutError):
+                self._restart_older(table)
         return scope.cancelled_caught
 
+    def _restart_older(self, table: str) -> None:
+        """Restarts the other calls that are older than a silent connection.
+
+        Whatever silenced the connection may have silenced theirs.
+        """
+        limit_s = self._now_s() - ANSWER_TIMEOUT_S
+        for other in TABLES:
+            if other != table and self._asked_s[other] < limit_s:
+                self._restart(other)
+
     async def _follow(self, client: MetadataClient, table: str) -> None:
         """Reads a table and watches it until a call fails."""
         while True:
             asked_s = self._now_s()
+            self._asked_s[table] = asked_s
             version = self._versions[table]
             if version is None:
                 rows = await client.read_table(
@@ -179,6 +210,7 @@
                 )
                 self._failures[table] = 0
                 self._versions[table] = rows.version
+                self._verify_others(rows.version)
                 self._post(rows._replace(asked_s=asked_s, complete=True))
                 continue
             wait_s = self._waits_s[table]
@@ -195,10 +227,61 @@
                 self._versions[table] = None
                 continue
             self._versions[table] = max(version, changed.version)
+            self._verify_others(changed.version)
             self._post(changed._replace(asked_s=asked_s))
             if _may_batch(changed):
                 await anyio.sleep(BATCH_DELAY_S)
 
+    def _verify_others(self, version: int) -> None:
+        """Verifies the watches that have not covered a version."""
+        self._newest = max(self._newest, version)
+        for table in TABLES:
+            if table in self._verified or not self._is_behind(table):
+                continue
+            self._verified.add(table)
+            self._group.start_soon(self._verify, table)
+
+    def _is_behind(self, table: str) -> bool:
+        version = self._versions[table]
+        if version is None or not self._waits_s[table]:
+            return False
+        return version < self._newest
+
+    async def _verify(self, table: str) -> None:
+        """Queries a table if its watch does not answer by itself."""
+        await anyio.sleep(VERIFY_DELAY_S)
+        version = self._versions[table]
+        try:
+            if version is not None and self._is_behind(table):
+                await self._query_changes(table, version)
+        except errors.PoplarspokeError as exc:
+            self._post(TableReadFailed(table, str(exc)))
+        finally:
+            self._verified.discard(table)
+
+    async def _query_changes(self, table: str, version: int) -> None:
+        """Reads what has changed; changed rows prove that the watch is dead."""
+        asked_s = self._now_s()
+        async with self._connect() as client:
+            changed = await client.watch_table(
+                table,
+                version,
+                wait_s=NO_WATCH_S,
+                timeout_s=ANSWER_TIMEOUT_S,
+            )
+        if self._versions[table] != version:
+            # The watch has answered meanwhile.
+            return
+        if changed is None:
+            self._versions[table] = None
+            self._restart(table)
+            return
+        self._versions[table] = max(version, changed.version)
+        self._post(changed._replace(asked_s=asked_s))
+        if changed.rows:
+            self._post(WatchReplaced(table, version))
+            self._restart(table)
+
     async def _write(self, change: WriteRecords) -> None:
         try:
             async with self._connect() as client:
--- a/poplarspoke/control/state.py
+++ b/poplarspoke/control/state.py
@@ -30,8 +30,8 @@
 LONG_WATCH_S = 20.0
 NO_WATCH_S = 0
 # Length of the watches of a zone watcher for each table. Answers for the
-# records renew its leases. Watches of the other tables end only to detect a
-# dead connection, which the answers of peers reveal earlier.
+# records renew its leases and show the newest version of the store, which
+# reveals a dead watch of another table.
 WATCHES_S = {
     RULES: LONG_WATCH_S,
     ENDPOINTS: LONG_WATCH_S,
--- a/poplarspoke/schema/control.capnp
+++ b/poplarspoke/schema/control.capnp
@@ -68,6 +68,12 @@
   reason @1 :Text;
 }
 
+struct WatchReplaced {
+  # A watch was silent although rows had changed; a new one was started.
+  table @0 :Text;
+  version @1 :UInt64;  # Newest version that the silent watch covered.
+}
+
 struct TableView {
   # Rows of one table as a peer has read them.
   table @0 :Text;
--- a/poplarspoke/web.py
+++ b/poplarspoke/web.py
@@ -93,6 +93,10 @@
     code = ErrorCode.OUTCOME_UNKNOWN
 
 
+class AnswerTimeoutError(AnswerLostError):
+    """The connection stayed open without a response until the time limit."""
+
+
 class HttpServer:
     """HTTP server on one listener; a context manager that owns its sockets.
 
@@ -225,8 +229,9 @@
                 arrives, since a long response may take longer on a slow link.
 
         Raises:
-            AnswerLostError: The connection failed, the time limit passed or
-                the response was invalid; the request may have run.
+            AnswerTimeoutError: The time limit passed; the request may have run.
+            AnswerLostError: The connection failed or the response was invalid;
+                the request may have run.
         """
         try:
             with (
@@ -236,6 +241,10 @@
                 if max_s:
                     self._extend = functools.partial(_extend, scope, timeout_s)
                 return await self._send(request)
+        except TimeoutError as exc:
+            raise AnswerTimeoutError(
+                f'no answer from {self._address} in time',
+            ) from exc
         except EXCHANGE_ERRORS as exc:
             raise AnswerLostError(
                 f'no whole answer from {self._address}: {type(exc).__name__}',
