--- a/poplarspoke/standins/metadata.py
+++ b/poplarspoke/standins/metadata.py
@@ -1,7 +1,8 @@
 """Stand-in of the users' metadata store and of its promotion calls.
 
 It holds rows in memory, commits transactions whose expected row versions match,
-and answers feed requests as soon as a row has changed.
+and answers feed requests as soon as a row has changed. It can be restored from a
+copy: versions go back and are given out again, and the era rises.
 """
 
 import base64
@@ -19,7 +20,9 @@
 MS_PER_S = 1000
 HTTP_OK = 200
 HTTP_CONDITION_FAILED = 412
+HTTP_GONE = 410
 HTTP_DOWN = 503
+ERA_HEADER = 'store-era'
 
 # Each connection is served by its own task and so has its own context.
 _connection: contextvars.ContextVar[int] = contextvars.ContextVar(
@@ -28,6 +31,18 @@
 )
 
 
+class Copy(NamedTuple):
+    """Content of the store at one moment.
+
+    Attributes:
+        version: Newest version.
+        rows: Rows by table and key; deleted ones are marked.
+    """
+
+    version: int
+    rows: dict[tuple[str, str], dict[str, Any]]
+
+
 class Promotion(NamedTuple):
     """A promotion that was ordered.
 
@@ -48,6 +63,7 @@
     Attributes:
         down: Whether calls are refused.
         calls: Number of calls received.
+        era: Rises by one with each restore.
         promotions: Promotions in the order of arrival.
         address: ``IP:port`` of the listener.
     """
@@ -60,6 +76,7 @@
         """
         self.down = False
         self.calls = 0
+        self.era = 1
         self.promotions: list[Promotion] = []
         self._promote = promote
         self._version = 0
@@ -101,11 +118,26 @@
             if table in {'', called}
         )
 
+    def copy(self) -> Copy:
+        """Returns the present content."""
+        return Copy(self._version, dict(self._rows))
+
+    def restore(self, content: Copy) -> None:
+        """Loses all that was written after a copy, and cuts the watches."""
+        self.era += 1
+        self._version = content.version
+        self._rows = dict(content.rows)
+        self._notify()
+
     async def _serve(self, request: web.Request) -> web.Response:
+        era = self.era
         response = await self._answer(request)
         if _connection.get() in self._silent:
             await anyio.sleep_forever()
-        return response
+        if era != self.era:
+            raise anyio.EndOfStream
+        headers = (web.Header(ERA_HEADER, str(era)),)
+        return response._replace(headers=headers)
 
     async def _answer(self, request: web.Request) -> web.Response:
         self.calls += 1
@@ -117,7 +149,10 @@
         _connection.set(number)
         self._tables[number] = query.get('table', '')
         if url.path == '/rows-get':
-            return self._build_answer(self._list_rows(query['table'], 0))
+            rows = self._list_rows(query['table'], 0)
+            return self._build_answer(
+                [row for row in rows if 'tombstone' not in row]
+            )
         if url.path == '/rows-feed':
             return await self._watch(query)
         body = json.loads(request.body)
@@ -131,8 +166,13 @@
 
     async def _watch(self, query: dict[str, str]) -> web.Response:
         after = int(query['after'])
+        if after > self._version:
+            return web.Response(HTTP_GONE)
+        era = self.era
         with anyio.move_on_after(int(query['waitMs']) / MS_PER_S):
-            while not self._list_rows(query['table'], after):
+            while era == self.era and not self._list_rows(
+                query['table'], after
+            ):
                 await self._changed.wait()
         return self._build_answer(self._list_rows(query['table'], after))
 
@@ -141,7 +181,8 @@
         for expected in body['expectedRev']:
             row_key = (expected['table'], expected['key'])
             absent = {'table': row_key[0], 'key': row_key[1], 'ver': 0}
-            current.append(self._rows.get(row_key, absent))
+            row = self._rows.get(row_key, absent)
+            current.append(absent if 'tombstone' in row else row)
         versions = [row['ver'] for row in current]
         if versions != [entry['ver'] for entry in body['expectedRev']]:
             conflict = web.write_json({'rows': current})
@@ -149,6 +190,9 @@
         self._version += 1
         for row in body['setKeys']:
             self._store_row(row['table'], row['key'], row['value'])
+        for row in body['deleteKeys']:
+            deleted = {'ver': self._version, 'tombstone': True}
+            self._rows[row['table'], row['key']] = {**row, **deleted}
         self._notify()
         return web.Response(HTTP_OK, web.write_json({'ver': self._version}))
 
--- a/tests/test_session_host.py
+++ b/tests/test_session_host.py
@@ -25,6 +25,8 @@
 
 KEY = 'key-of-blue'
 TEST_TIMEOUT_S = 60  # Ends a test that hangs; tests may run on a busy machine.
+# Ends a wait before that, so that the test fails where it waits.
+WAIT_TIMEOUT_S = 40
 Statement: TypeAlias = Callable[[], Awaitable[list[str]]]
 
 
@@ -109,7 +111,7 @@
         for member in self.service.members:
             self.write_entry(member.name)
         for number in range(hosts):
-            await self._start_host(number)
+            await self.start_host(number)
 
     def configure(self, version: int, keys: tuple[str, ...] = (KEY,)) -> None:
         """Writes a configuration as the operators do."""
@@ -162,18 +164,21 @@
 
     async def wait(self, is_done: Callable[[], bool]) -> None:
         """Waits until a condition holds."""
-        while not is_done():
-            await anyio.sleep(0.02)
+        with anyio.fail_after(WAIT_TIMEOUT_S):
+            while not is_done():
+                await anyio.sleep(0.02)
 
     async def retry(self, run: Statement, expected: str) -> list[str]:
         """Repeats a statement until its answer starts as expected."""
-        while True:
-            lines = await run()
-            if lines and lines[0].startswith(expected):
-                return lines
-            await anyio.sleep(0.05)
-
-    async def _start_host(self, number: int) -> None:
+        with anyio.fail_after(WAIT_TIMEOUT_S):
+            while True:
+                lines = await run()
+                if lines and lines[0].startswith(expected):
+                    return lines
+                await anyio.sleep(0.05)
+
+    async def start_host(self, number: int) -> None:
+        """Starts a host and waits until it serves."""
         settings = HostSettings(
             name=f'h{number}',
             zone='z1',
