Keep what was in force when the metadata store is restored from a copy

Cause: the version of the store ordered rows, watches, views, confirmations and conditions, and after a restore it goes back and is given out again. Hosts dropped the rows of the new era. Fencing tokens and numbers of failovers were one more than those in the store, so a restore gave them out again, and a host that knew only the copy used a superseded primary.

Now the adapter combines the era and the version to a revision, which never decreases and orders all of these. What a host knows to be newer than the copy stays in force and is written again under the condition of the restored row; tokens and numbers of an era are higher than those of earlier ones. A host that was not informed until the restore waits for the confirmation of the era before it uses a primary.

--- a/poplarspoke/control/confirmation.py
+++ b/poplarspoke/control/confirmation.py
@@ -11,7 +11,7 @@
 
 import xxhash
 
-from poplarspoke.control import isolation, leadership, tables
+from poplarspoke.control import isolation, leadership, revisions, tables
 from poplarspoke.control.state import (
     NO_WATCH_S,
     RECORDS,
@@ -59,7 +59,7 @@
 
 
 class Versions(NamedTuple):
-    """Version of the newest change of each table."""
+    """Revision of the newest change of each table."""
 
     rules: int
     endpoints: int
@@ -119,6 +119,11 @@
     records = state['tables'][RECORDS]
     if message.records > records['version']:
         return outgoing
+    if revisions.find_era(message.records) != revisions.find_era(
+        records['version']
+    ):
+        # The peer has not learnt yet that the store was restored.
+        return outgoing
     confirmed_s = message.asked_s - message.age_s
     if confirmed_s <= records['confirmed_s']:
         return outgoing
@@ -246,7 +251,7 @@
 
 
 def find_versions(state: ControlState) -> Versions:
-    """Returns the version of the newest change of each table."""
+    """Returns the revision of the newest change of each table."""
     return Versions._make(state['tables'][table]['newest'] for table in TABLES)
 
 
--- a/poplarspoke/control/decisions.py
+++ b/poplarspoke/control/decisions.py
@@ -8,18 +8,23 @@
     failover,
     isolation,
     leadership,
+    reconciliation,
     records,
+    restoration,
     retirement,
+    revisions,
     succession,
     tables,
 )
 from poplarspoke.control.state import (
     ENDPOINTS,
+    HOST_PREFIX,
     RECORDS,
     RULES,
     TABLES,
     AdvanceFailover,
     ClaimLeadership,
+    ConfirmEra,
     ControlState,
     RecordFirstPrimaries,
     RegisterHost,
@@ -30,6 +35,7 @@
 from poplarspoke.generated.control import (
     Confirmation,
     EndpointState,
+    EraRecord,
     HostRecord,
     PrimaryPhase,
     PrimaryRecord,
@@ -86,7 +92,12 @@
     if not message.relayed:
         state['store_last_response_s'] = now_s
     before = confirmation.find_versions(state)
+    era = revisions.find_era(state['tables'][RECORDS]['version'])
     outgoing = tables.apply_rows(state, message, now_s)
+    if revisions.find_era(state['tables'][RECORDS]['version']) > era:
+        # Conditions of pending writes name rows of the era before.
+        state['writes'].clear()
+        outgoing.extend(leadership.abandon_all(state, now_s))
     outgoing.extend(confirmation.notify_zone(state, before))
     outgoing.extend(leadership.abandon_failovers(state, now_s))
     for ongoing in list(state['changes'].values()):
@@ -122,6 +133,7 @@
     outgoing: list[Any] = []
     if state['absent_since_s']:
         outgoing.extend(tables.list_endpoints(state, now_s))
+    outgoing.extend(tables.expire_held_rows(state, now_s))
     for endpoint, reported_s in list(state['silent'].items()):
         if now_s - reported_s > UNRESPONSIVE_TTL_S:
             state['silent'].pop(endpoint)
@@ -130,6 +142,7 @@
         isolation.check,
         _request_views,
         _register_host,
+        restoration.check,
         _record_first_primaries,
         succession.check,
         retirement.check,
@@ -149,6 +162,10 @@
 def _(message: RecordsWritten, state: ControlState, now_s: float) -> list[Any]:
     purpose = state['writes'].pop(message.correlation, None)
     outgoing: list[Any] = []
+    era = revisions.find_era(state['tables'][RECORDS]['version'])
+    if revisions.find_era(message.version) > era:
+        # Its rows are applied when the restored table has been read.
+        message = RecordsWritten(message.correlation)
     if message.known and message.rows:
         newer = TableRows(
             table=RECORDS,
@@ -293,7 +310,8 @@
     | ResignLeadership
     | RegisterHost
     | RetireHost
-    | RecordFirstPrimaries,
+    | RecordFirstPrimaries
+    | ConfirmEra,
     state: ControlState,
     written: RecordsWritten,
     now_s: float,
@@ -313,7 +331,8 @@
     address = f'{settings.ip}:{settings.peer_port}'
     known = state['hosts'].get(settings.name)
     same = known is not None and known.address == address
-    if known is not None and same and not known.retired:
+    is_lost = HOST_PREFIX + settings.name in state['unwritten']
+    if known is not None and same and not known.retired and not is_lost:
         return []
     if now_s < state['next_registration_s']:
         return []
@@ -361,6 +380,10 @@
         )
         for entry in named
     ]
+    if not state['primaries'] and not reconciliation.is_confirmed(state):
+        # No earlier era has had a primary, so no record of one is lost.
+        era = revisions.find_era(state['tables'][RECORDS]['version'])
+        writes.append(records.write_era(state, EraRecord(era)))
     return [records.write(state, RecordFirstPrimaries(), *writes)]
 
 
--- a/poplarspoke/control/failover.py
+++ b/poplarspoke/control/failover.py
@@ -17,8 +17,10 @@
 import functools
 from typing import Any
 
-from poplarspoke.control import records
+from poplarspoke.control import records, revisions
 from poplarspoke.control.state import (
+    LEASE_MARGIN_S,
+    PRIMARY_LEASE_S,
     RECORDS,
     AdvanceFailover,
     ClaimingFailover,
@@ -32,7 +34,7 @@
     SelectingCandidate,
     Step,
 )
-from poplarspoke.control.tables import PRIMARY_LEASE_S, RELAY
+from poplarspoke.control.tables import RELAY
 from poplarspoke.generated.common import Position
 from poplarspoke.generated.control import (
     EndpointState,
@@ -49,8 +51,6 @@
 from poplarspoke.generated.rules import EndpointRole
 from poplarspoke.tasks import Outgoing, ToHost, ToStore, ToTask
 
-# A primary lease ends by the clock of its host, which may run slightly slower.
-LEASE_MARGIN_S = 0.2
 # Datagrams may be lost; a round trip between zones takes 3 ms.
 QUERY_INTERVAL_S = 0.15
 # Endpoints that do not answer within this time cannot become the candidate.
@@ -77,11 +77,14 @@
 ) -> list[Any]:
     """Starts a failover by claiming it."""
     known = state['primaries'][service]
+    number = revisions.find_next_number(
+        known.record.change, state['tables'][RECORDS]['version']
+    )
     failover = Failover(
         service=service,
         old=known.record.endpoint,
         reason=reason,
-        number=known.record.change + 1,
+        number=number,
         step=ClaimingFailover(),
         started_s=now_s,
         claimed_s=0,
--- a/poplarspoke/control/feeds.py
+++ b/poplarspoke/control/feeds.py
@@ -18,8 +18,14 @@
 from anyio.abc import TaskGroup
 
 from poplarspoke import errors, web
-from poplarspoke.control.state import ENDPOINTS, NO_WATCH_S, RULES, TABLES
-from poplarspoke.control.tables import HOST_PREFIX
+from poplarspoke.control import revisions
+from poplarspoke.control.state import (
+    ENDPOINTS,
+    HOST_PREFIX,
+    NO_WATCH_S,
+    RULES,
+    TABLES,
+)
 from poplarspoke.generated.control import (
     OrderPromotion,
     PromotionAnswered,
@@ -234,6 +240,8 @@
 
     def _verify_others(self, version: int) -> None:
         """Verifies the watches that have not covered a version."""
+        if revisions.find_era(version) > revisions.find_era(self._newest):
+            self._read_again(version)
         self._newest = max(self._newest, version)
         for table in TABLES:
             if table in self._verified or not self._is_behind(table):
@@ -241,6 +249,16 @@
             self._verified.add(table)
             self._group.start_soon(self._verify, table)
 
+    def _read_again(self, version: int) -> None:
+        """Reads the tables that were read before the store was restored."""
+        for table, known in self._versions.items():
+            if known is None or known >= version:
+                continue
+            if revisions.find_era(known) < revisions.find_era(version):
+                self._versions[table] = None
+                self._needed[table].set()
+                self._restart(table)
+
     def _is_behind(self, table: str) -> bool:
         version = self._versions[table]
         if version is None or not self._waits_s[table]:
@@ -289,6 +307,10 @@
         except errors.PoplarspokeError:
             # The control task logs that there was no answer.
             written = RecordsWritten(change.correlation)
+        if revisions.find_era(written.version) > revisions.find_era(
+            self._newest
+        ):
+            self._verify_others(written.version)
         self._post(written)
 
     async def _promote(self, order: OrderPromotion) -> None:
--- a/poplarspoke/control/leadership.py
+++ b/poplarspoke/control/leadership.py
@@ -10,7 +10,13 @@
 from collections import Counter
 from typing import Any
 
-from poplarspoke.control import failover, ranks, records
+from poplarspoke.control import (
+    failover,
+    ranks,
+    reconciliation,
+    records,
+    revisions,
+)
 from poplarspoke.control.state import (
     ENDPOINTS,
     RECORDS,
@@ -91,6 +97,8 @@
     for service in sorted(state['primaries']):
         if service in state['changes']:
             continue
+        if not reconciliation.is_usable(state, service):
+            continue
         report = _update_report(
             state, service, now_s, endpoints=counts[service]
         )
@@ -239,6 +247,11 @@
     """
     if is_leader(state):
         return []
+    return abandon_all(state, now_s)
+
+
+def abandon_all(state: ControlState, now_s: float) -> list[Any]:
+    """Abandons all failovers; their primaries are evaluated again."""
     abandoned = list(state['changes'].values())
     state['changes'].clear()
     return [failover.log_abandoned(ongoing, now_s) for ongoing in abandoned]
@@ -313,8 +326,7 @@
     if state['leaving']:
         return []
     if is_leader(state):
-        able = is_active_leader(state, now_s)
-        return _assess_report(state, report, now_s) if able else []
+        return _lead(state, report, now_s)
     leader = state['duty'].record.holder
     own = state['settings'].name
     if leader in {'', own} or _is_leader_unresponsive(state, report, now_s):
@@ -333,6 +345,16 @@
     return [ToHost(host, message) for host in (leader, *peers)]
 
 
+def _lead(state: ControlState, report: Report, now_s: float) -> list[Any]:
+    if not is_active_leader(state, now_s):
+        return []
+    version = state['tables'][RECORDS]['version']
+    if not revisions.is_of_era(state['duty'].record.token, version):
+        # A claim that a restore has lost may have given out the same token.
+        return claim(state, now_s)
+    return _assess_report(state, report, now_s)
+
+
 def _is_reported_by_others(state: ControlState, report: Report) -> bool:
     """Returns whether a reason that all hosts read is left to a few of them."""
     if report['reason'] == UNRESPONSIVE:
@@ -427,15 +449,21 @@
     record = LeaderRecord(
         holder=state['settings'].name,
         incarnation=state['incarnation'],
-        token=lease.record.token + 1,
+        token=revisions.find_next_number(
+            lease.record.token, state['tables'][RECORDS]['version']
+        ),
     )
     line = LogDecision(
         event='leadership claimed',
         outcome=str(record.token),
         reason=f'former leader: {lease.record.holder or "none"}',
     )
-    # A leader that has resigned orders no more promotions.
-    wait_s = FORMER_LEADER_WAIT_S if lease.record.holder else 0
-    state['first_order_s'] = now_s + wait_s
+    # A leader that has resigned orders no more promotions, and there was no
+    # later leader if this one was informed until the restore.
+    is_successor = not is_leader(state) or not state['is_informed']
+    wait_s = FORMER_LEADER_WAIT_S if lease.record.holder and is_successor else 0
+    state['first_order_s'] = max(
+        now_s + wait_s, state['unknown_leases_until_s']
+    )
     write = records.write_leader(record, lease.version)
     return [line, records.write(state, ClaimLeadership(), write)]
--- a/poplarspoke/control/metrics.py
+++ b/poplarspoke/control/metrics.py
@@ -2,7 +2,8 @@
 
 from prometheus_client import CollectorRegistry, Gauge
 
-from poplarspoke.control.state import ControlState
+from poplarspoke.control import revisions
+from poplarspoke.control.state import RECORDS, ControlState
 
 
 class ControlMetrics:
@@ -22,6 +23,16 @@
             ('table',),
             registry=registry,
         )
+        self._era = Gauge(
+            'poplarspoke_control_store_era',
+            'Era of the store; it rises when the store is restored.',
+            registry=registry,
+        )
+        self._unwritten = Gauge(
+            'poplarspoke_control_unwritten_records',
+            'Records that a restored store lacks and this host knows.',
+            registry=registry,
+        )
         self._configuration = Gauge(
             'poplarspoke_control_configuration_version',
             'Version of the configuration in force.',
@@ -32,5 +43,9 @@
         """Sets the gauges from the state."""
         for name, table in state['tables'].items():
             self._age.labels(name).set(now_s - table['confirmed_s'])
-            self._version.labels(name).set(table['version'])
+            version = revisions.find_version(table['version'])
+            self._version.labels(name).set(version)
+        era = revisions.find_era(state['tables'][RECORDS]['version'])
+        self._era.set(era)
+        self._unwritten.set(len(state['unwritten']))
         self._configuration.set(state['ruleset'].version)
--- a/poplarspoke/control/records.py
+++ b/poplarspoke/control/records.py
@@ -4,13 +4,17 @@
 from typing import Any
 
 from poplarspoke import codec
-from poplarspoke.control.state import ControlState, Purpose
-from poplarspoke.control.tables import (
+from poplarspoke.control.state import (
+    ERA_KEY,
     HOST_PREFIX,
     LEADER_KEY,
     PRIMARY_PREFIX,
+    RECORDS,
+    ControlState,
+    Purpose,
 )
 from poplarspoke.generated.control import (
+    EraRecord,
     HostRecord,
     LeaderRecord,
     PrimaryRecord,
@@ -35,11 +39,20 @@
 def write_host(state: ControlState, record: HostRecord) -> RecordWrite:
     """Returns the write of a host's row."""
     key = HOST_PREFIX + record.name
-    known = state['tables']['records']['rows'].get(key)
-    version = 0
-    if known is not None and not known.removed:
-        version = known.version
-    return RecordWrite(key, version, _dump(record))
+    return RecordWrite(key, _find_version(state, key), _dump(record))
+
+
+def write_era(state: ControlState, record: EraRecord) -> RecordWrite:
+    """Returns the write that confirms the records of an era."""
+    version = _find_version(state, ERA_KEY)
+    return RecordWrite(ERA_KEY, version, _dump(record))
+
+
+def write_again(state: ControlState, key: str) -> RecordWrite:
+    """Returns the write of a record that a restored store lacks."""
+    row = state['tables'][RECORDS]['rows'][key]
+    content = '' if row.removed else row.content
+    return RecordWrite(key, row.version, content, row.removed)
 
 
 def write_leader(record: LeaderRecord, version: int) -> RecordWrite:
@@ -57,5 +70,13 @@
     return RecordWrite(PRIMARY_PREFIX + record.service, version, _dump(record))
 
 
+def _find_version(state: ControlState, key: str) -> int:
+    """Returns the revision of a row; 0 if it does not exist."""
+    known = state['tables'][RECORDS]['rows'].get(key)
+    if known is None or known.removed:
+        return 0
+    return known.version
+
+
 def _dump(record: Any) -> str:
     return json.dumps(codec.to_object(record))
--- a/poplarspoke/control/retirement.py
+++ b/poplarspoke/control/retirement.py
@@ -11,8 +11,11 @@
 from typing import Any
 
 from poplarspoke.control import leadership, records
-from poplarspoke.control.state import ControlState, RetireHost
-from poplarspoke.control.tables import PRIMARY_LEASE_S
+from poplarspoke.control.state import (
+    PRIMARY_LEASE_S,
+    ControlState,
+    RetireHost,
+)
 from poplarspoke.generated.control import QueryConfirmation
 from poplarspoke.generated.relay import LogDecision
 from poplarspoke.tasks import ToHost
--- a/poplarspoke/control/state.py
+++ b/poplarspoke/control/state.py
@@ -40,6 +40,17 @@
 # Keys of the table that the operators write.
 RULES_KEY = 'config'
 EVACUATION_PREFIX = 'evacuate/'
+# Keys of the records.
+HOST_PREFIX = 'host/'
+PRIMARY_PREFIX = 'primary/'
+LEADER_KEY = 'duty'
+ERA_KEY = 'era'
+# Duration of a primary lease, from the request whose answer confirmed it. It
+# bridges most outages of the store, and is the longest that a failover waits
+# for an unresponsive host.
+PRIMARY_LEASE_S = 8.0
+# A primary lease ends by the clock of its host, which may run slightly slower.
+LEASE_MARGIN_S = 0.2
 
 
 class Decoders(NamedTuple):
@@ -53,9 +64,9 @@
     """Local copy of a table of the metadata store.
 
     Attributes:
-        version: Newest version that was read; it never decreases.
+        version: Newest revision that was read; it never decreases.
         rows: Rows by key, including removed ones.
-        newest: Version of the newest row.
+        newest: Revision of the newest row.
         confirmed_s: Send time of the latest request whose answer showed that
             this copy was current.
         complete: Whether the whole table has been read at least once.
@@ -69,14 +80,14 @@
 
 
 class VersionedLeader(NamedTuple):
-    """Row of the leader lease with its version; 0 if there is no row."""
+    """Row of the leader lease with its revision; 0 if there is no row."""
 
     record: LeaderRecord
     version: int
 
 
 class VersionedPrimary(NamedTuple):
-    """Row of a primary with its version in the store."""
+    """Row of a primary with its revision in the store."""
 
     record: PrimaryRecord
     version: int
@@ -179,6 +190,10 @@
     """A write of the first primary of one or more services."""
 
 
+class ConfirmEra(NamedTuple):
+    """A write of lost records, and of the row that confirms their era."""
+
+
 class AdvanceFailover(NamedTuple):
     """A write that the failover of a service waits for."""
 
@@ -191,6 +206,7 @@
     | RegisterHost
     | RetireHost
     | RecordFirstPrimaries
+    | ConfirmEra
     | AdvanceFailover
 )
 
@@ -204,7 +220,7 @@
         number: Number of the failover of this service.
         step: What the failover waits for.
         claimed_s: When the store acknowledged the claim.
-        claim_version: Version of the claim in the store.
+        claim_version: Revision of the claim in the store.
         released: Hosts that have released their lease on the old primary.
         states: Newest answers of the endpoints.
         candidate: Endpoint that is to become the primary; empty before.
@@ -314,6 +330,21 @@
             zone when it became isolated.
         assessed_s: When an unresponsive primary of a service was last found
             to answer enough hosts.
+        unwritten: Keys of records that this host knows to be newer than the
+            restored store does.
+        confirmed_era: Newest era whose records are known to be complete.
+        trusted: Services whose primary this host may use before the records
+            of the era are confirmed: it held the lease until the restore, or
+            the row was written after it.
+        is_informed: Whether this host's records were current until the
+            restore, or there was none while it has run.
+        era_since_s: When the records were first read in the present era.
+        former_confirmed_s: Confirmation of the records in the era before.
+        held_since_s: When a restored store was found to lack the row of an
+            evacuation, by key.
+        unknown_leases_until_s: Until when hosts that this host does not know
+            may hold primary leases.
+        next_confirmation_s: Earliest time of the next write of lost records.
     """
 
     settings: HostSettings
@@ -356,6 +387,15 @@
     isolation_reported_s: float
     has_few_primaries: bool
     assessed_s: dict[str, float]
+    unwritten: set[str]
+    confirmed_era: int
+    trusted: set[str]
+    is_informed: bool
+    era_since_s: float
+    former_confirmed_s: float
+    held_since_s: dict[str, float]
+    unknown_leases_until_s: float
+    next_confirmation_s: float
     leaving: bool
     ready: bool
     unresponsive_hosts: set[str]
@@ -417,6 +457,15 @@
         isolation_reported_s=0,
         has_few_primaries=False,
         assessed_s={},
+        unwritten=set(),
+        confirmed_era=0,
+        trusted=set(),
+        is_informed=False,
+        era_since_s=0,
+        former_confirmed_s=0,
+        held_since_s={},
+        unknown_leases_until_s=0,
+        next_confirmation_s=0,
         leaving=False,
         ready=False,
         unresponsive_hosts=set(),
--- a/poplarspoke/control/tables.py
+++ b/poplarspoke/control/tables.py
@@ -9,9 +9,15 @@
 from typing import Any
 
 from poplarspoke import codec
+from poplarspoke.control import reconciliation, revisions
 from poplarspoke.control.state import (
     ENDPOINTS,
+    ERA_KEY,
     EVACUATION_PREFIX,
+    HOST_PREFIX,
+    LEADER_KEY,
+    PRIMARY_LEASE_S,
+    PRIMARY_PREFIX,
     RECORDS,
     RULES,
     RULES_KEY,
@@ -21,6 +27,7 @@
     VersionedPrimary,
 )
 from poplarspoke.generated.control import (
+    EraRecord,
     HostRecord,
     LeaderRecord,
     PeerAddresses,
@@ -43,16 +50,12 @@
 from poplarspoke.generated.rules import EndpointEntry
 from poplarspoke.tasks import ToTask
 
-# Duration of a primary lease, from the request whose answer confirmed it. It
-# bridges most outages of the store, and is the longest that a failover waits
-# for an unresponsive host.
-PRIMARY_LEASE_S = 8.0
-HOST_PREFIX = 'host/'
-PRIMARY_PREFIX = 'primary/'
-LEADER_KEY = 'duty'
 # An endpoint whose entry expired during an outage of the store registers again
 # within 2 s of the end of the outage; until then the endpoint is kept.
 ABSENT_TTL_S = 2.5
+# The operators write again what a restored store lacks as soon as it is back. An
+# evacuation that it lacks is kept until then, and dropped if it stays missing.
+HELD_ROW_TTL_S = 2.5
 RELAY = 'relay'
 
 
@@ -65,38 +68,100 @@
     table = state['tables'][message.table]
     if message.version < table['version']:
         return []
-    changed = _merge(table, message)
+    if table['complete'] and _is_later_era(message.version, table):
+        return _apply_restored(state, message, now_s)
+    was_complete = table['complete']
+    changed = _merge(state, message)
+    if was_complete and message.table == RECORDS:
+        _trust_written(state, changed)
+    outgoing = _apply_changed(state, message, changed, now_s)
+    if message.table == RECORDS and table['complete'] and not was_complete:
+        reconciliation.enter_era(state, now_s, is_recent=False)
+    return outgoing
+
+
+def _apply_restored(
+    state: ControlState,
+    message: TableRows,
+    now_s: float,
+) -> list[Any]:
+    """Applies the first answer of a store that was restored from a copy."""
+    if not message.complete and not message.relayed:
+        # Changes alone do not show what the store has lost.
+        return []
+    table = state['tables'][message.table]
+    former_s = table['confirmed_s']
+    restored, line = reconciliation.reconcile(state, message, now_s)
+    changed = _replace_rows(table, restored)
+    if message.table != RECORDS:
+        return [line, *_apply_changed(state, message, changed, now_s)]
+    state['former_confirmed_s'] = former_s
+    outgoing = _apply_changed(state, message, changed, now_s)
+    is_recent = now_s - former_s < PRIMARY_LEASE_S
+    reconciliation.enter_era(state, now_s, is_recent=is_recent)
+    return [line, *outgoing]
+
+
+def _apply_changed(
+    state: ControlState,
+    message: TableRows,
+    changed: list[TableRow],
+    now_s: float,
+) -> list[Any]:
+    outgoing: list[Any] = []
+    table = state['tables'][message.table]
     table['version'] = message.version
     table['confirmed_s'] = max(table['confirmed_s'], message.asked_s)
-    outgoing: list[Any] = []
     for row in changed:
         outgoing.extend(_apply_row(state, message.table, row, now_s))
-    if changed and message.table != RECORDS:
+    if message.table != RECORDS:
+        return [*outgoing, *(list_endpoints(state, now_s) if changed else ())]
+    if any(entry.key.startswith(HOST_PREFIX) for entry in changed):
+        state['watchers'] = None
+        outgoing.extend(_list_hosts(state))
+    return [*outgoing, list_leases(state)]
+
+
+def expire_held_rows(state: ControlState, now_s: float) -> list[Any]:
+    """Drops rows that a restored store lacked and that were not written again."""
+    outgoing: list[Any] = []
+    for key, since_s in list(state['held_since_s'].items()):
+        if now_s - since_s < HELD_ROW_TTL_S:
+            continue
+        state['held_since_s'].pop(key)
+        rows = state['tables'][RULES]['rows']
+        rows[key] = rows[key]._replace(removed=True)
+        outgoing.extend(_apply_rule(state, rows[key]))
         outgoing.extend(list_endpoints(state, now_s))
-    if message.table == RECORDS:
-        if any(entry.key.startswith(HOST_PREFIX) for entry in changed):
-            state['watchers'] = None
-            outgoing.extend(_list_hosts(state))
-        outgoing.append(list_leases(state))
     return outgoing
 
 
 def list_leases(state: ControlState) -> ToTask:
     """Returns the primary leases that this host holds now."""
     settings = state['settings']
-    until_s = state['tables'][RECORDS]['confirmed_s'] + PRIMARY_LEASE_S
-    leases: list[PrimaryLease] = []
+    confirmed_s = state['tables'][RECORDS]['confirmed_s']
+    if HOST_PREFIX + settings.name in state['unwritten']:
+        # Without its registration, a failover would not wait for this host.
+        confirmed_s = state['former_confirmed_s']
+    until_s = confirmed_s + PRIMARY_LEASE_S
     own = state['hosts'].get(settings.name)
-    usable = state['primaries'] if own and not own.retired else {}
-    for service, known in usable.items():
-        record = known.record
-        if record.phase is not PrimaryPhase.STABLE:
-            continue
-        if record.change < state['released'].get(service, 0):
-            continue
-        leases.append(PrimaryLease(service, record.endpoint, until_s))
+    leases = tuple(
+        PrimaryLease(service, known.record.endpoint, until_s)
+        for service, known in state['primaries'].items()
+        if own and not own.retired and _may_lease(state, service, known.record)
+    )
     expected = _list_expected(state)
-    return ToTask(RELAY, LeasesRenewed(tuple(leases), expected))
+    return ToTask(RELAY, LeasesRenewed(leases, expected))
+
+
+def _may_lease(
+    state: ControlState, service: str, record: PrimaryRecord
+) -> bool:
+    if record.phase is not PrimaryPhase.STABLE:
+        return False
+    if record.change < state['released'].get(service, 0):
+        return False
+    return reconciliation.is_usable(state, service)
 
 
 def _list_expected(state: ControlState) -> tuple[str, ...]:
@@ -151,7 +216,19 @@
     return PeerView(state['settings'].name, tuple(views))
 
 
-def _merge(table: Table, message: TableRows) -> list[TableRow]:
+def _is_later_era(version: int, table: Table) -> bool:
+    return revisions.find_era(version) > revisions.find_era(table['version'])
+
+
+def _trust_written(state: ControlState, changed: list[TableRow]) -> None:
+    """Trusts primaries whose rows were written in the present era."""
+    for row in changed:
+        if row.key.startswith(PRIMARY_PREFIX):
+            state['trusted'].add(row.key.removeprefix(PRIMARY_PREFIX))
+
+
+def _merge(state: ControlState, message: TableRows) -> list[TableRow]:
+    table = state['tables'][message.table]
     changed: list[TableRow] = []
     seen: set[str] = set()
     for row in message.rows:
@@ -159,15 +236,38 @@
         known = table['rows'].get(row.key)
         if known is not None and known.version >= row.version:
             continue
-        table['rows'][row.key] = row
+        state['held_since_s'].pop(row.key, None)
+        changed.append(_choose_row(state, message.table, known, row))
+        table['rows'][row.key] = changed[-1]
         table['newest'] = max(table['newest'], row.version)
-        changed.append(row)
     if message.complete:
         table['complete'] = True
         changed.extend(_remove_missing(table, seen, message.version))
     return changed
 
 
+def _choose_row(
+    state: ControlState, table: str, known: TableRow | None, row: TableRow
+) -> TableRow:
+    if known is None:
+        return row
+    if row.removed:
+        # The number in its content orders a removed row after a restore.
+        row = row._replace(content=known.content)
+    if table == RECORDS:
+        return reconciliation.keep_known(state, known, row)
+    return row
+
+
+def _replace_rows(table: Table, message: TableRows) -> list[TableRow]:
+    rows = {row.key: row for row in message.rows}
+    table['rows'].update(rows)
+    versions = [row.version for row in message.rows]
+    table['newest'] = max([table['newest'], *versions])
+    removed = _remove_missing(table, set(rows), message.version)
+    return [*message.rows, *removed]
+
+
 def _remove_missing(
     table: Table,
     seen: set[str],
@@ -177,7 +277,7 @@
     for key, known in list(table['rows'].items()):
         if key in seen or known.removed:
             continue
-        removal = TableRow(key=key, version=version, removed=True)
+        removal = known._replace(version=version, removed=True)
         table['rows'][key] = removal
         table['newest'] = max(table['newest'], version)
         removed.append(removal)
@@ -254,11 +354,18 @@
     if row.key == LEADER_KEY:
         _apply_leader(state, row, now_s)
         return []
+    if row.key == ERA_KEY:
+        era = codec.parse(EraRecord, _load(row)).era
+        state['confirmed_era'] = max(state['confirmed_era'], era)
+        return []
     if not row.key.startswith(PRIMARY_PREFIX):
         return []
     service = row.key.removeprefix(PRIMARY_PREFIX)
     primary = codec.parse(PrimaryRecord, _load(row))
+    known = state['primaries'].get(service)
     state['primaries'][service] = VersionedPrimary(primary, row.version)
+    if known is not None and known.record == primary:
+        return []
     if primary.phase is PrimaryPhase.STABLE:
         state['changing_since_s'].pop(service, None)
     else:
--- a/poplarspoke/control/views.py
+++ b/poplarspoke/control/views.py
@@ -23,7 +23,8 @@
     ViewNeeded,
 )
 
-VIEW_PATH = '/view'
+# Versions in views include the era of the store since this path.
+VIEW_PATH = '/tables'
 # A view of a large configuration has a few hundred KB. A watcher sends it to all
 # hosts of its zone, over a link of 20 Mbit/s on the smallest machines.
 TIMEOUT_S = 2.0
--- a/poplarspoke/platform/metadata.py
+++ b/poplarspoke/platform/metadata.py
@@ -7,6 +7,7 @@
 from urllib.parse import urlencode
 
 from poplarspoke import errors, web
+from poplarspoke.control import revisions
 from poplarspoke.control.state import ENDPOINTS, RECORDS, RULES
 from poplarspoke.generated.common import ErrorCode
 from poplarspoke.generated.control import (
@@ -40,6 +41,8 @@
 READ_FIELDS = frozenset(('rows', 'ver'))
 ACCEPTED_FIELDS = frozenset(('ver',))
 CONFLICT_FIELDS = frozenset(('rows',))
+# Rises by one each time the store comes back from a copy.
+ERA_HEADER = 'store-era'
 # Limit on the time that an answer may take after its first part. The longest
 # answer, of 1 MB of rows, takes 6 s over 2 Mbit/s.
 MAX_TRANSFER_S = 15.0
@@ -57,7 +60,7 @@
     """Answer of the store to a read, a watch or a write.
 
     Attributes:
-        version: Newest version of the store.
+        version: Revision of the newest version of the store.
         rows: Rows of the answer.
         has_more: Whether further rows follow after the last one.
     """
@@ -110,6 +113,8 @@
             }
             page = await self._get('/rows-get', query, timeout_s)
             version = version or page.version
+            if revisions.find_era(version) != revisions.find_era(page.version):
+                raise MetadataError('the store was restored during the read')
             rows.extend(page.rows)
             if not page.has_more or not page.rows:
                 return TableRows(table, tuple(rows), version)
@@ -123,14 +128,17 @@
         wait_s: float,
         timeout_s: float,
     ) -> TableRows | None:
-        """Returns rows changed after a version; None if it is too old.
+        """Returns rows changed after a revision.
+
+        The result is None if the store has discarded the history since then,
+        or was restored, so that the version stands for other changes.
 
         Raises:
             errors.PoplarspokeError: No complete answer arrived.
         """
         query = {
             'table': TABLE_NAMES[table],
-            'after': after,
+            'after': revisions.find_version(after),
             'waitMs': int(wait_s * MS_PER_S),
         }
         path = f'/rows-feed?{urlencode(query)}'
@@ -138,6 +146,8 @@
         if response.status == HTTP_GONE:
             return None
         page = _read_page(response, READ_FIELDS)
+        if revisions.find_era(page.version) != revisions.find_era(after):
+            return None
         return TableRows(table, page.rows, page.version)
 
     async def write(
@@ -168,8 +178,13 @@
         payload = json.dumps(body).encode()
         response = await self._send('POST', '/rows-tx', payload, timeout_s)
         if response.status == HTTP_CONDITION_FAILED:
-            current = _decode_page(response.body, CONFLICT_FIELDS).rows
-            return RecordsWritten(change.correlation, known=True, rows=current)
+            current = _decode_page(response, CONFLICT_FIELDS)
+            return RecordsWritten(
+                change.correlation,
+                known=True,
+                version=current.version,
+                rows=current.rows,
+            )
         version = _read_page(response, ACCEPTED_FIELDS).version
         return RecordsWritten(
             change.correlation,
@@ -245,39 +260,44 @@
 def _read_page(response: web.Response, needed: frozenset[str]) -> Page:
     if response.status != HTTP_OK:
         raise MetadataError(f'the store answered {response.status}')
-    return _decode_page(response.body, needed)
+    return _decode_page(response, needed)
 
 
-def _decode_page(body: bytes, needed: frozenset[str]) -> Page:
+def _decode_page(response: web.Response, needed: frozenset[str]) -> Page:
     """Returns the answer of the store.
 
     Args:
-        body: JSON object of the answer.
+        response: Answer with a JSON object; its header states the era.
         needed: Fields that the answer must have; others may be missing.
 
     Raises:
         MetadataError: The answer is malformed, so the call has failed.
     """
     try:
-        fields = json.loads(body)
-        missing = needed - fields.keys()
-        if missing:
-            raise KeyError(*missing)
-        return Page(
-            int(fields.get('ver', 0)),
-            tuple(map(_decode_row, fields.get('rows', ()))),
-            bool(fields.get('hasMore')),
-        )
+        return _decode_fields(response, needed)
     except DECODE_ERRORS as exc:
         raise MetadataError('the answer of the store is malformed') from exc
 
 
-def _decode_row(fields: Mapping[str, Any]) -> TableRow:
+def _decode_fields(response: web.Response, needed: frozenset[str]) -> Page:
+    fields = json.loads(response.body)
+    missing = needed - fields.keys()
+    if missing:
+        raise KeyError(*missing)
+    era = int(response.find_header(ERA_HEADER) or 0)
+    return Page(
+        revisions.create_revision(int(fields.get('ver', 0)), era),
+        tuple(_decode_row(row, era) for row in fields.get('rows', ())),
+        bool(fields.get('hasMore')),
+    )
+
+
+def _decode_row(fields: Mapping[str, Any], era: int) -> TableRow:
     removed = bool(fields.get('tombstone')) or 'value' not in fields
     return TableRow(
         key=str(fields['key']),
         # A row that does not exist has version 0.
-        version=int(fields.get('ver', 0)),
+        version=revisions.create_revision(int(fields.get('ver', 0)), era),
         removed=removed,
         content='' if removed else _decode_content(fields['value']),
     )
@@ -300,7 +320,8 @@
 
 
 def _create_condition(write: RecordWrite) -> dict[str, Any]:
-    return {**_encode_key(write), 'ver': write.expected}
+    version = revisions.find_version(write.expected)
+    return {**_encode_key(write), 'ver': version}
 
 
 def _encode_row(write: RecordWrite) -> dict[str, Any]:
--- a/poplarspoke/platform/rows.py
+++ b/poplarspoke/platform/rows.py
@@ -63,6 +63,7 @@
             draining=DRAINING_BY_STATE[fields['state']],
             role=ROLES[fields['dbRole']],
             born_ms=_parse_count(fields.get('born', 0)),
+            sequence=_parse_count(fields.get('seq', 0)),
         )
     except DECODE_ERRORS:
         return None
--- a/poplarspoke/schema/control.capnp
+++ b/poplarspoke/schema/control.capnp
@@ -44,10 +44,15 @@
   term @6 :UInt64;  # Term of the primary; 0 for the first primary.
 }
 
+struct EraRecord {
+  # Row that confirms the records of an era of the store.
+  era @0 :UInt64;  # All records that a restore had lost were written again.
+}
+
 struct TableRow {
   # One row of the metadata store.
   key @0 :Text;
-  version @1 :UInt64;
+  version @1 :UInt64;  # A revision, as all versions here: era and version.
   removed @2 :Bool;
   content @3 :Text;
 }
--- a/poplarspoke/schema/rules.capnp
+++ b/poplarspoke/schema/rules.capnp
@@ -58,6 +58,7 @@
   draining @5 :Bool;
   role @6 :EndpointRole;
   bornMs @7 :UInt64;  # Start of its process, ms since 1970.
+  sequence @8 :UInt64;  # Increases with each report of this process.
 }
 
 struct HostSettings {
--- a/tests/control_simulation.py
+++ b/tests/control_simulation.py
@@ -2,10 +2,10 @@
 
 import json
 import random
-from typing import Any, TypeVar
+from typing import Any, NamedTuple, TypeVar
 
 from poplarspoke import codec
-from poplarspoke.control import decisions, tables
+from poplarspoke.control import decisions, revisions, tables
 from poplarspoke.control.state import (
     ENDPOINTS,
     RECORDS,
@@ -51,15 +51,24 @@
     return [entry for entry in inner if isinstance(entry, wanted)]
 
 
+class Copy(NamedTuple):
+    """Content of the store at one moment."""
+
+    version: int
+    rules: TableRow
+    rows: dict[str, TableRow]
+
+
 class ControlSimulation:
     """Hosts, one metadata store and the endpoints of one service.
 
     Attributes:
         now_s: Virtual clock.
-        version: Newest version of the store.
+        version: Revision of the newest version of the store.
         rules: Row of the operators' configuration.
         rows: Rows of the records, by key.
         store_unreachable: Hosts that the store does not answer.
+        unanswered: Hosts whose writes take effect without an answer.
         unreachable: Hosts that neither send nor receive datagrams.
         partitioned: Zones that exchange no datagrams with other zones.
         dead: Endpoints that do not answer.
@@ -78,6 +87,7 @@
         self.rules = TableRow('config', 1, content='1')
         self.rows: dict[str, TableRow] = {}
         self.store_unreachable: set[str] = set()
+        self.unanswered: set[str] = set()
         self.unreachable: set[str] = set()
         self.orders: list[OrderPromotion] = []
         self.hosts: dict[str, ControlState] = {}
@@ -195,6 +205,22 @@
         self.version += 1
         self.rules = TableRow('config', self.version, content=str(number))
 
+    def copy(self) -> Copy:
+        """Returns the present content of the store."""
+        return Copy(self.version, self.rules, dict(self.rows))
+
+    def restore(self, content: Copy) -> None:
+        """Loses what was written after a copy; its versions are given again."""
+        era = revisions.find_era(self.version) + 1
+        self.version = _change_era(content.version, era)
+        self.rules = content.rules._replace(
+            version=_change_era(content.rules.version, era)
+        )
+        self.rows = {
+            key: row._replace(version=_change_era(row.version, era))
+            for key, row in content.rows.items()
+        }
+
     def set_entry(self, name: str, **changed: Any) -> None:
         """Changes the entry of an endpoint."""
         self.version += 1
@@ -296,12 +322,17 @@
             self.rows.get(write.key, absent._replace(key=write.key))
             for write in change.writes
         ]
-        expected = [write.expected for write in change.writes]
-        if [row.version for row in current] != expected:
+        expected = [
+            revisions.find_version(write.expected) for write in change.writes
+        ]
+        if [_find_present(row) for row in current] != expected:
             conflict = RecordsWritten(
-                change.correlation, known=True, rows=tuple(current)
+                change.correlation,
+                known=True,
+                version=self.version,
+                rows=tuple(current),
             )
-            self.post(name, conflict)
+            self._answer(name, conflict)
             return
         self.version += 1
         written_rows = [write for write in change.writes if not write.unchanged]
@@ -316,6 +347,11 @@
             version=self.version,
             rows=tuple(self.rows[write.key] for write in written_rows),
         )
+        self._answer(name, written)
+
+    def _answer(self, name: str, written: RecordsWritten) -> None:
+        if name in self.unanswered:
+            written = RecordsWritten(written.correlation)
         self.post(name, written)
 
     def _decode_endpoint(self, key: str, content: str) -> EndpointEntry | None:
@@ -327,5 +363,14 @@
     return json.dumps(codec.to_object(record))
 
 
+def _change_era(revision: int, era: int) -> int:
+    return revisions.create_revision(revisions.find_version(revision), era)
+
+
+def _find_present(row: TableRow) -> int:
+    """Returns the version that a condition on a row must name."""
+    return 0 if row.removed else revisions.find_version(row.version)
+
+
 def _decode_rules(content: str) -> Ruleset | None:
     return Ruleset(version=int(content))
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -5,7 +5,7 @@
 import pytest
 
 from poplarspoke.control import failover, retirement, tables
-from poplarspoke.control.state import RECORDS, RULES
+from poplarspoke.control.state import PRIMARY_LEASE_S, RECORDS, RULES
 from poplarspoke.generated.common import Position
 from poplarspoke.generated.control import (
     Confirmation,
@@ -83,7 +83,7 @@
     state = simulation.hosts['h0']
     simulation.store_unreachable.add('h0')
     asked_s = state['tables'][RECORDS]['confirmed_s']
-    simulation.now_s = asked_s + tables.PRIMARY_LEASE_S + 0.1
+    simulation.now_s = asked_s + PRIMARY_LEASE_S + 0.1
     late = TableRows(RECORDS, (), simulation.version, asked_s)
     simulation.post('h0', late)
     assert not simulation.find_leased_primary('h0')
@@ -139,7 +139,7 @@
     simulation.store_unreachable.add('h0')
     simulation.unreachable.add('h0')
     simulation.set_entry('m1', draining=True)
-    simulation.run(tables.PRIMARY_LEASE_S - 1)
+    simulation.run(PRIMARY_LEASE_S - 1)
     assert not simulation.orders
     assert simulation.find_leased_primary('h0') == 'm1'
     simulation.run(1.2)
@@ -156,7 +156,7 @@
     failed = next(name for name in simulation.hosts if name != leader)
     simulation.hosts.pop(failed)
     simulation.set_entry('m1', draining=True)
-    simulation.run(tables.PRIMARY_LEASE_S + 4)
+    simulation.run(PRIMARY_LEASE_S + 4)
     assert simulation.read_record(PRIMARY_KEY)['endpoint'] == 'm2'
     simulation.run(retirement.REMOVE_AFTER_S + 3)
     assert simulation.rows[f'host/{failed}'].removed
@@ -172,7 +172,7 @@
     simulation.unreachable.add('h2')
     simulation.store_unreachable.add('h2')
     simulation.set_entry('m1', draining=True)
-    simulation.run(tables.PRIMARY_LEASE_S + 4)
+    simulation.run(PRIMARY_LEASE_S + 4)
     assert simulation.read_record('host/h2')['retired']
     simulation.unreachable.clear()
     simulation.store_unreachable.clear()
@@ -393,7 +393,7 @@
 ) -> None:
     """Leases must not expire while a peer still reads the store."""
     simulation.store_unreachable.add('h0')
-    simulation.run(tables.PRIMARY_LEASE_S + 2)
+    simulation.run(PRIMARY_LEASE_S + 2)
     assert simulation.find_leased_primary('h0') == 'm1'
 
 
--- a/tests/test_control_confirmation.py
+++ b/tests/test_control_confirmation.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from poplarspoke.control import confirmation, tables
-from poplarspoke.control.state import RECORDS
+from poplarspoke.control import confirmation
+from poplarspoke.control.state import PRIMARY_LEASE_S, RECORDS
 from poplarspoke.generated.control import (
     Confirmation,
     RowsChanged,
@@ -123,7 +123,7 @@
     fleet.post(name, answer)
     fleet.unreachable.add(name)
     fleet.store_unreachable.add(name)
-    fleet.run(tables.PRIMARY_LEASE_S + 0.1)
+    fleet.run(PRIMARY_LEASE_S + 0.1)
     assert not fleet.find_leased_primary(name)
 
 
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -10,6 +10,7 @@
 
 from poplarspoke import codec, errors, logs, metrics, web
 from poplarspoke.cli import arguments, definitions
+from poplarspoke.control import metrics as control_metrics
 from poplarspoke.generated.common import ErrorCode, Outcome
 from poplarspoke.relay import metrics as relay_metrics
 from poplarspoke.status import ExitStatus
@@ -113,13 +114,15 @@
     }
     named = {row[0].strip('`') for row in list_rows('Metrics')}
     assert named == expected
-    relay = {
+    registry = relay_metrics.RelayMetrics().registry
+    control_metrics.ControlMetrics(registry)
+    host = {
         f'{family.name}_total' if family.type == 'counter' else family.name
-        for family in relay_metrics.RelayMetrics().registry.collect()
+        for family in registry.collect()
     }
     for page in PAGES:
         found = set(re.findall('poplarspoke_[a-z_]+', TEXTS[page]))
-        assert found <= expected | relay
+        assert found <= expected | host
 
 
 def test_exit_statuses_and_the_page_agree() -> None:
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from poplarspoke.control import retirement, tables
+from poplarspoke.control import retirement
+from poplarspoke.control.state import PRIMARY_LEASE_S
 from poplarspoke.generated.relay import EndpointUnresponsive
 from tests.control_simulation import ControlSimulation
 
@@ -85,7 +86,7 @@
     leader = simulation.read_record('duty')['holder']
     failed = next(name for name in simulation.hosts if name != leader)
     simulation.hosts.pop(failed)
-    simulation.run(retirement.RETIRE_AFTER_S + tables.PRIMARY_LEASE_S + 1)
+    simulation.run(retirement.RETIRE_AFTER_S + PRIMARY_LEASE_S + 1)
     assert simulation.read_record(f'host/{failed}')['retired']
     assert measure_gap(simulation) < 3
 
@@ -104,7 +105,7 @@
     assert simulation.find_leased_primary(failed) == 'm1'
     measure_gap(simulation)
     assert not simulation.find_leased_primary(failed)
-    assert simulation.now_s - retired_s < tables.PRIMARY_LEASE_S + 3
+    assert simulation.now_s - retired_s < PRIMARY_LEASE_S + 3
 
 
 def test_many_unresponsive_hosts_are_not_retired(
--- a/tests/test_unexpected_input.py
+++ b/tests/test_unexpected_input.py
@@ -14,6 +14,7 @@
 from poplarspoke import errors, invariants, tasks, web
 from poplarspoke.control import decisions
 from poplarspoke.control.state import RECORDS
+from poplarspoke.control.views import VIEW_PATH
 from poplarspoke.generated.common import ErrorCode, Tick
 from poplarspoke.generated.control import TableRow, TableRows, WriteRecords
 from poplarspoke.generated.relay import LogDecision
@@ -38,7 +39,7 @@
 
     async def steps(site: Site) -> None:
         address = site.settings[0].control_address
-        answer = await send_post(address, '/view', body)
+        answer = await send_post(address, VIEW_PATH, body)
         assert answer.status == 400
         caller = await site.connect()
         assert await caller.start('read_own') == ['READY I -']
