Apply the other rows of an answer when one cannot be applied

All rows of an answer count as known before the first is applied, so an unexpected error in one of them left the others out for good: endpoints and configurations that this host believed to have. Each row is now applied on its own, and one that fails is logged as skipped.

--- a/poplarspoke/control/tables.py
+++ b/poplarspoke/control/tables.py
@@ -8,7 +8,7 @@
 import json
 from typing import Any
 
-from poplarspoke import codec
+from poplarspoke import codec, errors
 from poplarspoke.control import reconciliation, revisions
 from poplarspoke.control.state import (
     ENDPOINTS,
@@ -289,6 +289,23 @@
     table: str,
     row: TableRow,
     now_s: float,
+) -> list[Any]:
+    """Applies a row; an unexpected error skips it and not the others.
+
+    All rows of an answer count as known, so a row that was left out by the
+    error of another one would never be applied.
+    """
+    try:
+        return _apply_decoded(state, table, row, now_s)
+    except Exception as exc:
+        return [_log_skipped(table, row, errors.describe_unexpected(exc))]
+
+
+def _apply_decoded(
+    state: ControlState,
+    table: str,
+    row: TableRow,
+    now_s: float,
 ) -> list[Any]:
     if table == ENDPOINTS:
         return _apply_endpoint(state, row)
@@ -450,8 +467,12 @@
 
 
 def _log_unreadable(table: str, row: TableRow) -> LogDecision:
+    return _log_skipped(table, row, 'row cannot be decoded')
+
+
+def _log_skipped(table: str, row: TableRow, reason: str) -> LogDecision:
     return LogDecision(
         event='row skipped',
         outcome=f'{table} {row.key}',
-        reason='row cannot be decoded',
+        reason=reason,
     )
--- a/tests/test_unexpected_input.py
+++ b/tests/test_unexpected_input.py
@@ -13,11 +13,11 @@
 
 from poplarspoke import errors, invariants, tasks, web
 from poplarspoke.control import decisions
-from poplarspoke.control.state import RECORDS
+from poplarspoke.control.state import ENDPOINTS, RECORDS
 from poplarspoke.control.views import VIEW_PATH
 from poplarspoke.generated.common import ErrorCode, Tick
 from poplarspoke.generated.control import TableRow, TableRows, WriteRecords
-from poplarspoke.generated.relay import LogDecision
+from poplarspoke.generated.relay import EndpointsUpdated, LogDecision
 from poplarspoke.platform.metadata import Metadata, MetadataError
 from tests import control_simulation
 from tests.test_session_host import Site, run_steps
@@ -155,6 +155,33 @@
     assert after == before
 
 
+# Guards against rows that are known but were never applied.
+def test_row_that_cannot_be_applied_leaves_the_others_in_force() -> None:
+    """An unexpected error in one row of an answer is logged."""
+    fleet = control_simulation.ControlSimulation()
+    host = fleet.hosts['h0']
+    decode = host['decoders'].decode_endpoint
+
+    def fail_for_odd(key: str, content: str) -> Any:
+        if key == 'i-odd':
+            raise MemoryError(key)
+        return decode(key, content)
+
+    host['decoders'] = host['decoders']._replace(decode_endpoint=fail_for_odd)
+    fleet.entries['m9'] = fleet.entries['m3']._replace(endpoint='m9')
+    version = fleet.version + 1
+    changed = tuple(
+        TableRow(key, version, content='{}') for key in ('i-odd', 'm9')
+    )
+    outgoing = decisions.decide(
+        TableRows(ENDPOINTS, changed, version), host, fleet.now_s
+    )
+    updated = control_simulation.find_messages(outgoing, EndpointsUpdated)[-1]
+    assert 'm9' in {entry.endpoint for entry in updated.endpoints}
+    lines = control_simulation.find_messages(outgoing, LogDecision)
+    assert [line.event for line in lines] == ['row skipped']
+
+
 def test_task_continues_after_an_unexpected_error() -> None:
     """A message that cannot be handled is dropped and logged."""
     handled: list[Any] = []
