Keep hosts running beside odd entries of other writers

Operators of similar systems saw machines end again and again at one entry of the list of members. Here a deeply nested entry, a number such as 1e999 and a port out of range raised errors that left the decoders or the task that connects.

Decoders now take these errors for an invalid row and check the range of each number; an address is checked before a connection is opened, since the library reports a port out of range in an error group.

--- a/poplarspoke/control/links.py
+++ b/poplarspoke/control/links.py
@@ -5,10 +5,12 @@
 """
 
 import asyncio
+import ipaddress
 from collections.abc import Callable
 from typing import Any, Self
 
 from poplarspoke import codec
+from poplarspoke.addresses import Address, split_address
 from poplarspoke.generated.control import PeerAddresses, PeerDatagram
 from poplarspoke.generated.relay import LogDecision
 
@@ -38,7 +40,7 @@
         self._port = port
         self._receive = receive
         self._log = log
-        self._addresses: dict[str, tuple[str, int]] = {}
+        self._addresses: dict[str, Address] = {}
 
     async def __aenter__(self) -> Self:
         """Binds the socket."""
@@ -58,8 +60,13 @@
         """Replaces the addresses of the other hosts."""
         self._addresses = {}
         for host in message.hosts:
-            ip, _, port = host.address.rpartition(':')
-            self._addresses[host.name] = (ip, int(port))
+            try:
+                self._addresses[host.name] = _parse_address(host.address)
+            except ValueError as exc:
+                line = LogDecision(
+                    event='host skipped', outcome=host.name, reason=str(exc)
+                )
+                self._log(line)
 
     def send(self, host: str, message: Any) -> None:
         """Sends a message to a host; it may be lost."""
@@ -91,3 +98,9 @@
             self._log(LogDecision(event='datagram dropped', reason=str(exc)))
             return
         self._receive(datagram.body)
+
+
+def _parse_address(address: str) -> Address:
+    """Returns the parts of an address; a name would need a lookup."""
+    host, port = split_address(address)
+    return Address(str(ipaddress.ip_address(host)), port)
--- a/poplarspoke/control/queries.py
+++ b/poplarspoke/control/queries.py
@@ -7,6 +7,8 @@
 from anyio.abc import ByteStream, TaskGroup
 from anyio.streams.buffered import BufferedByteReceiveStream
 
+from poplarspoke import errors
+from poplarspoke.addresses import split_address
 from poplarspoke.generated.control import EndpointState, QueryEndpoint
 from poplarspoke.generated.relay import OpenConnection
 
@@ -15,9 +17,7 @@
 MAX_LINE_BYTES = 4096
 LINE_END = b'\r\n'
 QUERY_ERRORS = (
-    OSError,
-    TimeoutError,
-    ValueError,
+    *errors.CONNECT_ERRORS,
     anyio.BrokenResourceError,
     anyio.ClosedResourceError,
     anyio.EndOfStream,
@@ -78,8 +78,8 @@
         self._post(state)
 
     async def _exchange(self, query: QueryEndpoint) -> EndpointState:
-        host, _, port = query.address.rpartition(':')
-        async with await anyio.connect_tcp(host, int(port)) as stream:
+        address = split_address(query.address)
+        async with await anyio.connect_tcp(*address) as stream:
             opening = OpenConnection(
                 0, query.address, query.service, query.endpoint
             )
--- a/poplarspoke/errors.py
+++ b/poplarspoke/errors.py
@@ -133,6 +133,11 @@
 }
 
 
+# Errors of an attempt to connect. The address may be malformed if another writer
+# has left it in a row.
+CONNECT_ERRORS = (OSError, TimeoutError, ValueError)
+
+
 class PoplarspokeError(Exception):
     """Base class of the errors of this project.
 
--- a/poplarspoke/platform/rows.py
+++ b/poplarspoke/platform/rows.py
@@ -3,10 +3,14 @@
 For an invalid row the result is ``None``; the other rows stay in force.
 """
 
+import ipaddress
 import json
+import math
 from collections.abc import Mapping
 from typing import Any
 
+from poplarspoke import codec
+from poplarspoke.addresses import split_address
 from poplarspoke.generated.rules import (
     EndpointEntry,
     EndpointRole,
@@ -27,19 +31,32 @@
 }
 ROLES = {'primary': EndpointRole.PRIMARY, 'replica': EndpointRole.REPLICA}
 DRAINING_BY_STATE = {'ready': False, 'draining': True}
-DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
+# Deep nesting exceeds the recursion limit of the parser; a number such as 1e999
+# is infinite and overflows as an integer.
+DECODE_ERRORS = (
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    RecursionError,
+    OverflowError,
+)
+# Sizes of the fields of the schema.
+MAX_UINT32 = 0xFFFFFFFF
+MAX_UINT64 = codec.MAX_INTEGER
 
 
 def decode_rules(content: str) -> Ruleset | None:
     """Returns the operators' configuration; None if it is invalid."""
     try:
         fields = json.loads(content)
+        idle_ms = _parse_number(fields['limits']['txIdleMs'])
         return Ruleset(
-            version=fields['version'],
+            version=_parse_count(fields['version'], MAX_UINT64),
             routes=tuple(map(_decode_route, fields['routes'])),
             services=tuple(map(_decode_service, fields['services'])),
             workspaces=tuple(map(_decode_workspace, fields['tenants'])),
-            transaction_idle_s=fields['limits']['txIdleMs'] / MS_PER_S,
+            transaction_idle_s=idle_ms / MS_PER_S,
         )
     except DECODE_ERRORS:
         return None
@@ -59,43 +76,44 @@
             service=_parse_text(fields['service']),
             address=_parse_address(fields['address']),
             zone=_parse_text(fields['zone']),
-            slots=_parse_count(fields['slots']),
+            slots=_parse_count(fields['slots'], MAX_UINT32),
             draining=DRAINING_BY_STATE[fields['state']],
             role=ROLES[fields['dbRole']],
-            born_ms=_parse_count(fields.get('born', 0)),
-            sequence=_parse_count(fields.get('seq', 0)),
+            born_ms=_parse_count(fields.get('born', 0), MAX_UINT64),
+            sequence=_parse_count(fields.get('seq', 0), MAX_UINT64),
         )
     except DECODE_ERRORS:
         return None
 
 
 def _decode_route(fields: Mapping[str, Any]) -> RouteRule:
+    staleness_ms = _parse_number(fields.get('maxStalenessMs', 0))
     return RouteRule(
         # "host" is the database name that callers send.
-        database=fields['host'],
-        service=fields['service'],
+        database=_parse_text(fields['host']),
+        service=_parse_text(fields['service']),
         kind=ROUTE_KINDS[fields['routeType']],
-        statement_timeout_s=fields['timeoutMs'] / MS_PER_S,
-        target_latency_s=fields['targetLatencyMs'] / MS_PER_S,
-        staleness_s=fields.get('maxStalenessMs', 0) / MS_PER_S,
-        priority=fields.get('priority', 0),
-        open=fields.get('public', False),
+        statement_timeout_s=_parse_number(fields['timeoutMs']) / MS_PER_S,
+        target_latency_s=_parse_number(fields['targetLatencyMs']) / MS_PER_S,
+        staleness_s=staleness_ms / MS_PER_S,
+        priority=_parse_count(fields.get('priority', 0), MAX_UINT32),
+        open=bool(fields.get('public', False)),
     )
 
 
 def _decode_service(fields: Mapping[str, Any]) -> ServiceRule:
     return ServiceRule(
-        name=fields['name'],
-        max_connections=fields['maxConns'],
+        name=_parse_text(fields['name']),
+        max_connections=_parse_count(fields['maxConns'], MAX_UINT32),
     )
 
 
 def _decode_workspace(fields: Mapping[str, Any]) -> WorkspaceRule:
     return WorkspaceRule(
-        name=fields['name'],
-        keys=tuple(fields['apiKeys']),
-        rate=float(fields['ratePerS']),
-        burst=float(fields['burst']),
+        name=_parse_text(fields['name']),
+        keys=tuple(map(_parse_text, fields['apiKeys'])),
+        rate=_parse_number(fields['ratePerS']),
+        burst=_parse_number(fields['burst']),
     )
 
 
@@ -105,14 +123,22 @@
     return found
 
 
-def _parse_count(found: Any) -> int:
-    if not isinstance(found, int) or isinstance(found, bool) or found < 0:
-        raise ValueError('not a non-negative integer')
+def _parse_count(found: Any, limit: int) -> int:
+    if not isinstance(found, int) or isinstance(found, bool):
+        raise ValueError('not an integer')
+    if not 0 <= found <= limit:
+        raise ValueError('out of range')
     return found
 
 
+def _parse_number(found: Any) -> float:
+    if not isinstance(found, int | float) or isinstance(found, bool):
+        raise ValueError('not a number')
+    if not math.isfinite(found) or found < 0:
+        raise ValueError('out of range')
+    return float(found)
+
+
 def _parse_address(found: Any) -> str:
-    ip, _, port = _parse_text(found).rpartition(':')
-    if not ip or not port.isdigit():
-        raise ValueError('not an IP:port address')
-    return f'{ip}:{int(port)}'
+    host, port = split_address(_parse_text(found))
+    return f'{ipaddress.ip_address(host)}:{port}'
--- a/poplarspoke/relay/links.py
+++ b/poplarspoke/relay/links.py
@@ -12,7 +12,8 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from poplarspoke import codec
+from poplarspoke import codec, errors
+from poplarspoke.addresses import split_address
 from poplarspoke.generated.gateways import LinkFrame, OpenLink
 from poplarspoke.generated.relay import LogDecision
 from poplarspoke.relay.messages import (
@@ -137,16 +138,14 @@
         self, message: OpenGatewayLink, scope: anyio.CancelScope
     ) -> None:
         loop = asyncio.get_running_loop()
-        host, _, port = message.address.rpartition(':')
         with scope:
             try:
                 with anyio.fail_after(CONNECT_TIMEOUT_S):
                     await loop.create_connection(
                         lambda: GatewayProtocol(self, message.host),
-                        host,
-                        int(port),
+                        *split_address(message.address),
                     )
-            except (OSError, TimeoutError) as exc:
+            except errors.CONNECT_ERRORS as exc:
                 reason = f'not reachable: {exc or "timeout"}'
                 self.handle(GatewayLost(message.host, reason))
         if self._opening.get(message.host) is scope:
--- a/poplarspoke/relay/transport.py
+++ b/poplarspoke/relay/transport.py
@@ -14,7 +14,8 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from poplarspoke import invariants
+from poplarspoke import errors, invariants
+from poplarspoke.addresses import split_address
 from poplarspoke.generated.common import Position, Tick
 from poplarspoke.generated.relay import (
     AnswerCode,
@@ -227,15 +228,13 @@
 
     async def _connect(self, message: OpenConnection) -> None:
         loop = asyncio.get_running_loop()
-        host, _, port = message.address.rpartition(':')
         try:
             with anyio.fail_after(maintenance.OPEN_TIMEOUT_S):
                 await loop.create_connection(
                     lambda: EndpointProtocol(self, message),
-                    host,
-                    int(port),
+                    *split_address(message.address),
                 )
-        except (OSError, TimeoutError):
+        except errors.CONNECT_ERRORS:
             # The failure is logged with the request that it affects.
             self.endpoints.pop(message.connection, None)
             self.receive(ConnectionLost(message.connection))
--- a/poplarspoke/standins/metadata.py
+++ b/poplarspoke/standins/metadata.py
@@ -100,9 +100,13 @@
 
     def put(self, table: str, key: str, content: Any) -> None:
         """Writes a row on behalf of the platform, without conditions."""
+        self.put_text(table, key, json.dumps(content))
+
+    def put_text(self, table: str, key: str, content: str) -> None:
+        """Writes a row of any content on behalf of another writer."""
         self._version += 1
-        text = json.dumps(content).encode()
-        self._store_row(table, key, base64.b64encode(text).decode())
+        encoded = base64.b64encode(content.encode()).decode()
+        self._store_row(table, key, encoded)
         self._notify()
 
     def silence(self, table: str = '') -> None:
--- a/poplarspoke/web.py
+++ b/poplarspoke/web.py
@@ -16,6 +16,7 @@
 
 from poplarspoke import codec as message_codec
 from poplarspoke import errors
+from poplarspoke.addresses import split_address
 from poplarspoke.generated.common import ErrorCode
 
 MAX_HEADER_BYTES = 16384
@@ -289,11 +290,10 @@
         NotSentError: The connection was refused or not established within
             ``CONNECT_TIMEOUT_S``.
     """
-    host, _, port = address.rpartition(':')
     try:
         with anyio.fail_after(CONNECT_TIMEOUT_S):
-            stream = await anyio.connect_tcp(host, int(port))
-    except (OSError, TimeoutError) as exc:
+            stream = await anyio.connect_tcp(*split_address(address))
+    except errors.CONNECT_ERRORS as exc:
         raise NotSentError(f'{address} refused the connection') from exc
     return HttpConnection(stream, address)
 
