Let a watch continue from its own version after a query beside it

A store that discards its history reports no changes for a moment while its version advances. A query beside a silent watch would then have moved the watch past changes. Also limits the rows that a log line of a restore names, and treats a row that fails to decode during a restore as unknown.

Evidence: from reading; test_query_beside_a_watch_does_not_advance_it failed before by the version that the watch was restarted from.

--- a/poplarspoke/control/feeds.py
+++ b/poplarspoke/control/feeds.py
@@ -132,6 +132,8 @@
         self._asked_s = dict.fromkeys(TABLES, float(0))
         # Newest version of the store that any answer has shown.
         self._newest = 0
+        # Newest version that a query beside the watch found no changes up to.
+        self._covered = dict.fromkeys(TABLES, 0)
         self._verified: set[str] = set()
 
     async def __aenter__(self) -> Self:
@@ -263,7 +265,7 @@
         version = self._versions[table]
         if version is None or not self._waits_s[table]:
             return False
-        return version < self._newest
+        return max(version, self._covered[table]) < self._newest
 
     async def _verify(self, table: str) -> None:
         """Queries a table if its watch does not answer by itself."""
@@ -294,9 +296,12 @@
             self._versions[table] = None
             self._restart(table)
             return
-        self._versions[table] = max(version, changed.version)
+        # The watch continues from its own version: a store that discards its
+        # history reports no changes for a moment.
+        self._covered[table] = changed.version
         self._post(changed._replace(asked_s=asked_s))
         if changed.rows:
+            self._versions[table] = max(version, changed.version)
             self._post(WatchReplaced(table, version))
             self._restart(table)
 
--- a/poplarspoke/control/reconciliation.py
+++ b/poplarspoke/control/reconciliation.py
@@ -36,7 +36,8 @@
 from poplarspoke.generated.relay import LogDecision
 from poplarspoke.generated.rules import EndpointEntry, Ruleset
 
-FORMAT_ERRORS = (codec.FormatError, ValueError, RecursionError)
+# Rows that a log line names.
+MAX_NAMED_ROWS = 10
 
 
 class Evacuation(NamedTuple):
@@ -103,12 +104,18 @@
     line = LogDecision(
         event='restored table read',
         outcome=f'{message.table}: era {era}',
-        reason=f'newer here than in the store: {",".join(keys) or "none"}',
+        reason=f'newer here than in the store: {name_rows(keys)}',
         age_s=age_s,
     )
     return message._replace(rows=tuple(rows.values()), complete=True), line
 
 
+def name_rows(keys: list[str]) -> str:
+    """Returns the first keys of some rows and their number, for the log."""
+    named = ','.join(keys[:MAX_NAMED_ROWS]) or 'none'
+    return f'{named} ({len(keys)} rows)'
+
+
 def enter_era(state: ControlState, now_s: float, *, is_recent: bool) -> None:
     """Records that the records were read in another era, or for the first time.
 
@@ -217,8 +224,9 @@
         if table == RECORDS:
             return _decode_record(row)
         return _decode_foreign(state, table, row) or Unknown()
-    except FORMAT_ERRORS:
-        # The row is skipped and logged when it is applied.
+    except Exception:
+        # The row is skipped and logged when it is applied. An error here would
+        # leave the whole table as it was before the restore.
         return Unknown()
 
 
--- a/poplarspoke/control/restoration.py
+++ b/poplarspoke/control/restoration.py
@@ -56,7 +56,7 @@
     line = LogDecision(
         event='records written again',
         outcome=f'era {era}',
-        reason=','.join(write.key for write in writes),
+        reason=reconciliation.name_rows([write.key for write in writes]),
         age_s=now_s - state['era_since_s'],
     )
     return [line, records.write(state, ConfirmEra(), *writes)]
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -7,8 +7,8 @@
 import pytest
 
 from poplarspoke import errors
-from poplarspoke.control.feeds import Feeds
-from poplarspoke.control.state import RULES, TABLES
+from poplarspoke.control.feeds import VERIFY_DELAY_S, Feeds
+from poplarspoke.control.state import RECORDS, RULES, TABLES
 from poplarspoke.generated.control import (
     OrderPromotion,
     PromotionAnswered,
@@ -82,6 +82,21 @@
             raise errors.StoreError('the store is down')
 
 
+class AdvancingStore(FakeStore):
+    """Reports a newer version of the store with each answer for the records."""
+
+    async def watch_table(
+        self, table: str, after: int, *, wait_s: float, timeout_s: float
+    ) -> TableRows | None:
+        """Returns no rows, but a newer version."""
+        if wait_s and table != RECORDS:
+            return await super().watch_table(
+                table, after, wait_s=wait_s, timeout_s=timeout_s
+            )
+        await anyio.sleep(0.02)
+        return TableRows(table, version=5)
+
+
 class Harness:
     """Feeds over a fake store."""
 
@@ -173,6 +188,30 @@
     assert len(harness.store.watches) == 1
 
 
+# Guards against changes that are missed while the store discards its history.
+def test_query_beside_a_watch_does_not_advance_it() -> None:
+    """For a moment the store has a newer version and reports no changes."""
+    harness = Harness()
+    harness.store = AdvancingStore()
+
+    async def follow() -> None:
+        async with harness.feeds:
+            for table in (RULES, RECORDS):
+                harness.feeds.set_watch(SetWatch(table, 1))
+            await anyio.sleep(VERIFY_DELAY_S + 0.3)
+            harness.feeds.set_watch(SetWatch(RULES, 2))
+            await anyio.sleep(0.05)
+
+    anyio.run(follow)
+    confirmed = [
+        message.version
+        for message in harness.posted
+        if isinstance(message, TableRows) and message.table == RULES
+    ]
+    assert confirmed == [0, 5]
+    assert set(harness.store.watches) == {0}
+
+
 def test_lost_answers_are_reported(harness: Harness) -> None:
     """A write without an answer may have taken effect."""
     harness.store.failing = True
