--- a/tests/session_soak.py
+++ b/tests/session_soak.py
@@ -2,11 +2,11 @@
 
 Each host is a process; the store, the members and the callers run in this one.
 A seed selects the faults, which overlap: hosts are paused, killed and
-terminated, the store is down, primaries drain, and a loopback proxy before the
-store and each member delays, withholds or resets the data of connections. The
-checks compare the answers to callers with the log of the members: a session
-reads its own acknowledged writes, no write runs twice, no refused write ran,
-and no acknowledged write is lost.
+terminated, the store is down, is restored from a copy or falls silent on open
+connections, primaries drain, and a loopback proxy before the store and each member
+delays, withholds or resets the data of connections. The checks compare the answers to callers with the log of the members: a session
+reads its own acknowledged writes, no write runs twice, no refused write ran, no
+acknowledged write is lost, and fencing tokens do not decrease.
 
 Run by hand: ``python -m tests.session_soak SEED [COUNT [SECONDS]]``.
 """
@@ -157,6 +157,7 @@
             finally:
                 await self._kill_processes()
         self._check_committed_writes()
+        self._check_tokens()
 
     async def _start_proxies(self, stack: AsyncExitStack) -> None:
         targets: dict[str, int] = {
@@ -265,6 +266,8 @@
             self._restart_host,
             self._break_link,
             self._stop_store,
+            self._restore_store,
+            self._silence_store,
             self._drain_primary,
         )
         async with anyio.create_task_group() as group:
@@ -303,6 +306,16 @@
         await anyio.sleep(self.rng.uniform(0.2, 4))
         self.store.down = False
 
+    async def _restore_store(self) -> None:
+        content = self.store.copy()
+        await anyio.sleep(self.rng.uniform(0.5, 5))
+        self.store.restore(content)
+        # The operators and the members write theirs again.
+        self._configure()
+
+    async def _silence_store(self) -> None:
+        self.store.silence()
+
     async def _drain_primary(self) -> None:
         name = self.service.log['primary']
         self._put_server_row(name, 'draining')
@@ -383,6 +396,11 @@
         for request in sorted(self.acknowledged - set(runs)):
             self._report_violation('acknowledged', request)
 
+    def _check_tokens(self) -> None:
+        tokens = [order.token for order in self.store.promotions]
+        if tokens != sorted(tokens):
+            self._report_violation('fencing tokens decrease', tokens)
+
     def _report_violation(self, guarantee: str, evidence: Any) -> None:
         self.violations.append(Violation(guarantee, str(evidence)))
 
