--- a/poplarspoke/control/decisions.py
+++ b/poplarspoke/control/decisions.py
@@ -120,10 +120,11 @@
 
 @decide.register
 def _(message: WatchReplaced, state: ControlState, now_s: float) -> list[Any]:
+    version = revisions.find_version(message.version)
     line = LogDecision(
         event='watch restarted',
         outcome=message.table,
-        reason=f'no answer although rows changed after {message.version}',
+        reason=f'no answer although rows changed after version {version}',
     )
     return [line]
 
--- a/poplarspoke/schema/control.capnp
+++ b/poplarspoke/schema/control.capnp
@@ -76,7 +76,7 @@
 struct WatchReplaced {
   # A watch was silent although rows had changed; a new one was started.
   table @0 :Text;
-  version @1 :UInt64;  # Newest version that the silent watch covered.
+  version @1 :UInt64;  # Newest revision that the silent watch covered.
 }
 
 struct TableView {
