Confirm an era only where no failover was missed

A host that has released its lease for a failover, and then lost contact with the store, had recent records without the end of that failover. It counted as informed and could confirm the restored primary before the leader wrote the new one again; a host that had just started would have used the superseded primary.

Such a host now waits like an uninformed one. Once the era is confirmed, a release for a failover of an earlier era no longer bars the primary.

--- a/poplarspoke/control/reconciliation.py
+++ b/poplarspoke/control/reconciliation.py
@@ -125,13 +125,27 @@
         is_recent: Whether this host's records were current until then.
     """
     state['era_since_s'] = now_s
-    state['is_informed'] = is_recent
+    state['is_informed'] = is_recent and not _has_missed_failover(state)
     if is_recent or is_confirmed(state) or not state['primaries']:
         return
     # The copy may lack the registrations of hosts that hold leases.
     state['unknown_leases_until_s'] = now_s + PRIMARY_LEASE_S + LEASE_MARGIN_S
 
 
+def confirm_era(state: ControlState, era: int) -> None:
+    """Records that the records of an era are complete."""
+    state['confirmed_era'] = max(state['confirmed_era'], era)
+    if not is_confirmed(state):
+        return
+    # A failover of an earlier era is over, or its record was written again.
+    version = state['tables'][RECORDS]['version']
+    state['released'] = {
+        service: number
+        for service, number in state['released'].items()
+        if revisions.is_of_era(number, version)
+    }
+
+
 def is_confirmed(state: ControlState) -> bool:
     """Returns whether the records of the present era are complete."""
     era = revisions.find_era(state['tables'][RECORDS]['version'])
@@ -265,6 +279,15 @@
     return found._replace(content=known.content, removed=known.removed)
 
 
+def _has_missed_failover(state: ControlState) -> bool:
+    """Returns whether a lease was released for a failover without a record."""
+    for service, number in state['released'].items():
+        known = state['primaries'].get(service)
+        if known is None or known.record.change < number:
+            return True
+    return False
+
+
 def _list_kept(
     state: ControlState, message: TableRows, *, is_recent: bool
 ) -> list[TableRow]:
--- a/poplarspoke/control/state.py
+++ b/poplarspoke/control/state.py
@@ -336,8 +336,7 @@
         trusted: Services whose primary this host may use before the records
             of the era are confirmed: it held the lease until the restore, or
             the row was written after it.
-        is_informed: Whether this host's records were current until the
-            restore, or there was none while it has run.
+        is_informed: Whether this host knew all records until the restore.
         era_since_s: When the records were first read in the present era.
         former_confirmed_s: Confirmation of the records in the era before.
         held_since_s: When a restored store was found to lack the row of an
--- a/poplarspoke/control/tables.py
+++ b/poplarspoke/control/tables.py
@@ -373,7 +373,7 @@
         return []
     if row.key == ERA_KEY:
         era = codec.parse(EraRecord, _load(row)).era
-        state['confirmed_era'] = max(state['confirmed_era'], era)
+        reconciliation.confirm_era(state, era)
         return []
     if not row.key.startswith(PRIMARY_PREFIX):
         return []
--- a/tests/test_restored_records.py
+++ b/tests/test_restored_records.py
@@ -18,12 +18,14 @@
 from poplarspoke.generated.common import Tick
 from poplarspoke.generated.control import (
     Confirmation,
+    EraRecord,
     LeaderRecord,
     OrderPromotion,
     PrimaryPhase,
     PrimaryRecord,
     PromotionAnswered,
     RecordsWritten,
+    RequestRelease,
     TableRow,
     TableRows,
 )
@@ -528,3 +530,23 @@
         revisions.is_of_era(order.token, fleet.version)
         for order in fleet.orders
     ] == [True]
+
+
+# Guards against a confirmation by a host that knows of a failover, but not its end.
+def test_lost_failover_is_not_confirmed_by_a_host_that_missed_it() -> None:
+    """It has released its lease, and the copy has the former primary."""
+    fleet = RestoredFleet()
+    host = fleet.hosts['h0']
+    request = RequestRelease('h1', SERVICE, 2)
+    decisions.decide(request, host, fleet.now_s)
+    rows = [
+        row._replace(version=revisions.create_revision(row.version, ERA))
+        for row in fleet.rows.values()
+    ]
+    outgoing = read_restored(fleet, 'h0', RECORDS, *rows)
+    assert not host['is_informed']
+    assert not find_leases(outgoing)
+    confirmed = (*rows, create_row('era', 90, EraRecord(ERA)))
+    fleet.version += 90
+    outgoing = read_restored(fleet, 'h0', RECORDS, *confirmed)
+    assert find_leases(outgoing) == ('m1',)
