--- a/tests/test_restored_records.py
+++ b/tests/test_restored_records.py
@@ -266,6 +266,14 @@
     return decisions.decide(answer, fleet.hosts[name], fleet.now_s)
 
 
+def list_restored(fleet: ControlSimulation) -> list[TableRow]:
+    """Returns the records of a fleet as rows of the new era."""
+    return [
+        row._replace(version=revisions.create_revision(row.version, ERA))
+        for row in fleet.rows.values()
+    ]
+
+
 def create_row(key: str, version: int, record: Any) -> TableRow:
     """Returns a row of the new era."""
     return TableRow(
@@ -332,11 +340,7 @@
     host = fleet.hosts['h0']
     confirmed_s = host['tables'][RECORDS]['confirmed_s']
     fleet.now_s += 2
-    rows = [
-        row._replace(version=revisions.create_revision(row.version, ERA))
-        for key, row in fleet.rows.items()
-        if key != 'host/h0'
-    ]
+    rows = [row for row in list_restored(fleet) if row.key != 'host/h0']
     outgoing = read_restored(fleet, 'h0', RECORDS, *rows)
     lease = find_messages(outgoing, LeasesRenewed)[-1].leases[0]
     assert lease.until_s == pytest.approx(confirmed_s + PRIMARY_LEASE_S)
@@ -347,10 +351,7 @@
 def test_peer_confirms_only_its_own_era(era: int, renews: bool) -> None:
     """Its versions are from before the restore and prove nothing."""
     fleet = RestoredFleet()
-    rows = [
-        row._replace(version=revisions.create_revision(row.version, ERA))
-        for row in fleet.rows.values()
-    ]
+    rows = list_restored(fleet)
     read_restored(fleet, 'h0', RECORDS, *rows)
     fleet.now_s += 2
     newest = revisions.create_revision(1, era)
@@ -453,10 +454,7 @@
     row = TableRow('host/h3', fleet.version, removed, encode_content(retired))
     newest = TableRows(RECORDS, (row,), fleet.version, fleet.now_s)
     decisions.decide(newest, host, fleet.now_s)
-    found = [
-        entry._replace(version=revisions.create_revision(entry.version, ERA))
-        for entry in fleet.rows.values()
-    ]
+    found = list_restored(fleet)
     read_restored(fleet, 'h0', RECORDS, *found)
     assert ('h3' in host['hosts']) is not removed
     assert removed or host['hosts']['h3'].retired
@@ -539,10 +537,7 @@
     host = fleet.hosts['h0']
     request = RequestRelease('h1', SERVICE, 2)
     decisions.decide(request, host, fleet.now_s)
-    rows = [
-        row._replace(version=revisions.create_revision(row.version, ERA))
-        for row in fleet.rows.values()
-    ]
+    rows = list_restored(fleet)
     outgoing = read_restored(fleet, 'h0', RECORDS, *rows)
     assert not host['is_informed']
     assert not find_leases(outgoing)
