--- a/poplarspoke/control/feeds.py
+++ b/poplarspoke/control/feeds.py
@@ -134,7 +134,8 @@
         self._newest = 0
         # Newest version that a query beside the watch found no changes up to.
         self._covered = dict.fromkeys(TABLES, 0)
-        self._verified: set[str] = set()
+        # Tables that are about to be queried beside their watch.
+        self._verifying: set[str] = set()
 
     async def __aenter__(self) -> Self:
         """Starts one watch for each table."""
@@ -246,9 +247,9 @@
             self._read_again(version)
         self._newest = max(self._newest, version)
         for table in TABLES:
-            if table in self._verified or not self._is_behind(table):
+            if table in self._verifying or not self._is_behind(table):
                 continue
-            self._verified.add(table)
+            self._verifying.add(table)
             self._group.start_soon(self._verify, table)
 
     def _read_again(self, version: int) -> None:
@@ -277,7 +278,7 @@
         except errors.PoplarspokeError as exc:
             self._post(TableReadFailed(table, str(exc)))
         finally:
-            self._verified.discard(table)
+            self._verifying.discard(table)
 
     async def _query_changes(self, table: str, version: int) -> None:
         """Reads what has changed; changed rows prove that the watch is dead."""
--- a/poplarspoke/control/reconciliation.py
+++ b/poplarspoke/control/reconciliation.py
@@ -165,7 +165,7 @@
     """Returns a changed record, or the known content if that is newer.
 
     A write of an earlier era may take effect late if its condition holds again
-    by chance.
+    by chance; the known content is then written again.
     """
     is_guarded = row.key == LEADER_KEY or row.key.startswith(PRIMARY_PREFIX)
     if is_guarded and _is_known_newer(
