review: a restarted host takes a released primary from a peer

Cause: a host remembers only in memory which primaries it has released. After a restart it takes a lease on an old record of a peer that the store refuses, and the leader has counted it as released.

Change: review/4 holds a script in which the store refuses two of six machines, a primary is replaced and one of the two is killed.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,7 +1,8 @@
-"""A key that was taken away goes on working inside an open transaction."""
+"""A restarted machine takes a superseded primary from a peer and reads there."""
 
 import asyncio
 import pathlib
+import signal
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
@@ -11,21 +12,26 @@
 SERVICE = 'huvo11a'
 DATABASE = 'lepu270'
 KEY = 'u6wsjnbanfqasnmgkcuy'
-OTHER_KEY = 'j8pjbvk9m68k7b2ex5wa'
 ZONES = {'piraeus': 'attica', 'marousi': 'attica', 'elefsina': 'attica'}
 MACHINES = {
     'front-piraeus-1': 'piraeus',
+    'front-piraeus-2': 'piraeus',
     'front-marousi-1': 'marousi',
+    'front-marousi-2': 'marousi',
+    'front-marousi-3': 'marousi',
     'front-elefsina-1': 'elefsina',
 }
-# configApplyMs of the site.
-APPLY_S = 3.0
-SETTLE_S = 2.0
-# A transaction has up to 12 statements; one that rests for txIdleMs, 3 s, may be
-# ended.
-STATEMENTS = 10
-PAUSE_S = 2.0
-REVOKE_AFTER = 2
+# Two of six machines are turned away by the store, for up to 9 s in the site.
+KILLED = 'front-marousi-1'
+PEER = 'front-marousi-2'
+REFUSED_S = 9.0
+# The third seed was replaced before; seeds may be stale or down.
+SEEDS = (KILLED, PEER, 'front-gone-1')
+SETTLE_S = 3.0
+RELEASE_AFTER_S = 0.2
+KILL_AFTER_S = 0.1
+RESTART_DELAY_S = 0.3
+OBSERVE_S = 12.0
 
 
 async def case(record):
@@ -34,9 +40,9 @@
         record, lambda *row: store.put(*row), SERVICE, sync=0
     )
     store = standins.Store(record, lambda _, name: group.promote(name))
-    port = await store.start()
+    ports = {name: await store.start(name) for name in MACHINES}
     configuration = standins.create_configuration(
-        7, SERVICE, sync=0, keys=[KEY, OTHER_KEY]
+        7, SERVICE, sync=0, keys=[KEY]
     )
     store.put('op', 'config', configuration)
     for name, zone, role in (
@@ -46,103 +52,150 @@
     ):
         await group.add(name, zone, role).start()
     machines = standins.Machines(record)
-    ports = dict.fromkeys(MACHINES, port)
-    machines.describe(MACHINES, ZONES, ports, ports)
+    machines.describe(MACHINES, ZONES, ports, ports, SEEDS)
+    stop = asyncio.Event()
     try:
         for name in MACHINES:
             await machines.start(name)
         if not await machines.wait_ready():
             return 2
-        await asyncio.sleep(SETTLE_S)
-        sessions = [
-            await open_transaction(record, machines.ports[name], index)
-            for index, name in enumerate(MACHINES)
+        others = [name for name in MACHINES if name not in {KILLED, PEER}]
+        writers = [
+            asyncio.ensure_future(
+                standins.keep_writing(
+                    record,
+                    f'writer-{index}',
+                    machines.ports[name],
+                    DATABASE,
+                    KEY,
+                    f'{index}x',
+                    stop,
+                )
+            )
+            for index, name in enumerate(others)
         ]
-        if not all(sessions):
+        await asyncio.sleep(SETTLE_S)
+        balancer = Balancer(record, machines, KILLED)
+        prober = asyncio.ensure_future(balancer.probe())
+        reader = asyncio.ensure_future(
+            keep_reading(record, balancer, machines.ports[KILLED], stop)
+        )
+        if standins.has_trouble():
+            record.write('store', f'refuses {KILLED} and {PEER}')
+            store.refuse((KILLED, PEER))
+            asyncio.get_running_loop().call_later(REFUSED_S, store.refuse, ())
+        await asyncio.sleep(RELEASE_AFTER_S)
+        group.members['i-1'].drain()
+        while not group.promotions:
+            await asyncio.sleep(0.05)
+        if standins.has_trouble():
+            await asyncio.sleep(KILL_AFTER_S)
+            await machines.restart(KILLED, RESTART_DELAY_S)
+        await asyncio.sleep(OBSERVE_S)
+        stop.set()
+        acknowledged = {}
+        for writer in writers:
+            for at_s, item in await writer:
+                acknowledged[item] = at_s
+        reads = await reader
+        prober.cancel()
+        if {KILLED, PEER} & {order[1] for order in store.orders}:
+            record.write('case', 'a refused machine led the failover')
             return 2
-        revoked_s = 0
-        late = {}
-        for number in range(STATEMENTS):
-            if number == REVOKE_AFTER:
-                keys = [OTHER_KEY] if standins.has_trouble() else [KEY]
-                store.put(
-                    'op',
-                    'config',
-                    standins.create_configuration(
-                        9, SERVICE, sync=0, keys=[*keys, OTHER_KEY]
-                    ),
-                )
-                revoked_s = record.now()
-                record.write('operator', f'version 9 holds the keys {keys}')
-            await asyncio.sleep(PAUSE_S)
-            for index, client in enumerate(sessions):
-                await run(record, client, f'WRITE {index}x{number} v', late)
-        for client in sessions:
-            await run(record, client, 'COMMIT', late)
-        in_force = await check_in_force(record, machines)
     finally:
         await machines.end()
-    return judge(record, group, late, revoked_s, in_force)
-
-
-async def open_transaction(record, port, index):
-    """Returns a session with an open transaction."""
-    client = standins.Client(record, f'client-{index}', port, DATABASE, KEY)
-    await client.open()
-    for _ in range(20):
-        word, _, _, _ = await client.send('BEGIN')
+    return judge(record, group, acknowledged, reads)
+
+
+class Balancer:
+    """Takes a machine out of rotation after two probes without a 200."""
+
+    def __init__(self, record, machines, name):
+        self.record = record
+        self.in_rotation = True
+        self._machines = machines
+        self._name = name
+
+    async def probe(self):
+        """Probes the machine once a second."""
+        misses = 0
+        while True:
+            await asyncio.sleep(1)
+            misses = 0 if await self._machines.probe(self._name) else misses + 1
+            in_rotation = misses < 2
+            if in_rotation != self.in_rotation:
+                self.record.write(
+                    'balancer', f'{self._name} in rotation: {in_rotation}'
+                )
+            self.in_rotation = in_rotation
+
+
+async def keep_reading(record, balancer, port, stop):
+    """Reads through one machine; returns the reads as (request, sent).
+
+    It connects only while the machine is in rotation; an open session stays.
+    """
+    client = standins.Client(record, 'reader', port, DATABASE, KEY)
+    is_open = False
+    reads = []
+    while not stop.is_set():
+        await asyncio.sleep(0.02)
+        if not is_open and not balancer.in_rotation:
+            continue
+        try:
+            if not is_open:
+                answer = await client.open()
+                is_open = answer.startswith('READY')
+                if not is_open:
+                    record.write('reader', f'START: {answer}')
+                    client.close()
+                    await asyncio.sleep(0.1)
+                    continue
+        except (OSError, TimeoutError, asyncio.IncompleteReadError):
+            client.close()
+            await asyncio.sleep(0.1)
+            continue
+        word, _, _, phase = await client.send('READ 0x1')
         if word == 'DONE':
-            return client
-        await asyncio.sleep(0.3)
-    return None
-
-
-async def run(record, client, text, late):
-    """Runs a statement and keeps when it was sent if it succeeded."""
-    sent_s = record.now()
-    word, detail, _, _ = await client.send(text)
-    if word == 'DONE':
-        late[detail.partition('.')[2]] = (sent_s, client.name, text)
-
-
-async def check_in_force(record, machines):
-    """Returns whether new sessions with the key are refused."""
-    refused = True
-    for name, port in machines.ports.items():
-        client = standins.Client(record, f'new-{name}', port, DATABASE, KEY)
-        answer = await client.open()
-        client.close()
-        record.write(f'new-{name}', f'START with the key: {answer}')
-        refused = refused and answer.startswith('ERROR NOAUTH')
-    return refused
-
-
-def judge(record, group, late, revoked_s, in_force):
-    """Checks the rule CONFIG: nothing runs with a dropped key."""
-    runs = {
-        request
-        for member in group.members.values()
-        for _, request, _, _ in member.runs
-    }
+            reads.append(client.last)
+        elif phase != 'I':
+            client.close()
+            is_open = False
+    client.close()
+    return reads
+
+
+def judge(record, group, acknowledged, reads):
+    """Checks the rule STALE for a primary route."""
+    positions = {}
+    for member in group.members.values():
+        positions.update(member.read_positions)
+    rolled_back = set(group.rolled_back)
+    entries = [
+        entry
+        for entry in group.list_entries()
+        if entry.item in acknowledged and entry not in rolled_back
+    ]
     broken = 0
-    if standins.has_trouble():
-        for request, (sent_s, name, text) in late.items():
-            if sent_s <= revoked_s + APPLY_S or request not in runs:
-                continue
-            broken += 1
-            record.write(
-                'check',
-                f'CONFIG: {name} sent {text!r} {sent_s - revoked_s:.1f} s '
-                'after its key was taken away; a member ran it',
-            )
-    committed = sum(
-        len(member.log) for member in group.members.values()
-    ) // len(group.members)
-    record.write(
-        'check',
-        f'{broken} statements with a dropped key; {committed} writes '
-        f'committed; new sessions refused: {in_force}',
-    )
+    for request, sent_s in reads:
+        term, applied, name = positions[request]
+        missing = [
+            entry
+            for entry in entries
+            if acknowledged[entry.item] < sent_s and entry.number > applied
+        ]
+        if not missing:
+            continue
+        broken += 1
+        newest = missing[-1]
+        record.write(
+            'check',
+            f'STALE: read {request}, sent {sent_s:.3f}, ran at {name} on '
+            f'{term}.{applied}, which lacks {newest.term}.{newest.number}, '
+            f'acknowledged {acknowledged[newest.item]:.3f}, and '
+            f'{len(missing) - 1} more',
+        )
+    record.write('check', f'{len(reads)} reads, {broken} of them stale')
     return 1 if broken else 0
 
 
--- a/review/harness/standins.py
+++ b/review/harness/standins.py
@@ -83,12 +83,22 @@
         self._changed = asyncio.Event()
         self._start_s = time.monotonic()
         self._lock = asyncio.Lock()
+        self._refused = set()
 
-    async def start(self):
-        """Binds the listener and returns its port."""
-        server = await asyncio.start_server(self._serve, LOOPBACK, 0)
+    async def start(self, machine=''):
+        """Binds a listener, for one machine or all, and returns its port."""
+
+        async def serve(reader, writer):
+            await self._serve(reader, writer, machine)
+
+        server = await asyncio.start_server(serve, LOOPBACK, 0)
         return server.sockets[0].getsockname()[1]
 
+    def refuse(self, machines):
+        """Turns machines away with 503 and serves the others."""
+        self._refused = set(machines)
+        self._notify()
+
     def put(self, table, key, content):
         """Writes a row for the operator or a member; returns the version."""
         value = base64.b64encode(json.dumps(content).encode()).decode()
@@ -103,7 +113,7 @@
         self._drop(table, '', key)
         self._notify()
 
-    async def _serve(self, reader, writer):
+    async def _serve(self, reader, writer, machine):
         try:
             while True:
                 head = await reader.readuntil(b'\r\n\r\n')
@@ -115,9 +125,14 @@
                     headers[name.strip().lower()] = text.strip()
                 length = int(headers.get('content-length', 0))
                 body = await reader.readexactly(length)
-                status, answer = await self._answer(
-                    method, target, headers, body
-                )
+                if machine in self._refused:
+                    status, answer = 503, {}
+                else:
+                    status, answer = await self._answer(
+                        method, target, headers, body
+                    )
+                if machine in self._refused and method == 'GET':
+                    status, answer = 503, {}
                 payload = json.dumps(answer).encode()
                 writer.write(
                     f'HTTP/1.1 {status} X\r\n'
@@ -191,10 +206,13 @@
                 rows.sort(key=lambda row: row['ver'])
                 return 200, self._describe(rows, False)
             changed = self._changed
+            refused = self._refused
             try:
                 await asyncio.wait_for(changed.wait(), left_s)
             except TimeoutError:
                 continue
+            if self._refused is not refused:
+                return 200, self._describe([], False)
 
     def _describe(self, rows, has_more):
         now_ms = int((time.monotonic() - self._start_s) * 1000)
@@ -470,7 +488,10 @@
         self.log_term = 1
         self.number = 0
         self.log = []
+        self.received_s = {}
         self.runs = []
+        # Log position that each read ran on, by request.
+        self.read_positions = {}
         self._primary = None
         self._sequence = 1
         self._connections = set()
@@ -504,6 +525,20 @@
         """Returns the end of the log as TERM.NUMBER."""
         return f'{self.log_term}.{self.number}'
 
+    def count_applied(self):
+        """Returns the number of the last entry that reads see."""
+        if self.role == 'primary':
+            return self.number
+        applied = self.number
+        limit_s = time.monotonic() - APPLY_S
+        while self.received_s.get(applied, 0) > limit_s:
+            applied -= 1
+        return applied
+
+    def applied_position(self):
+        """Returns the position that reads see as TERM.NUMBER."""
+        return f'{self.log_term}.{self.count_applied()}'
+
     def drain(self):
         """Reports that the member will leave; it goes on serving."""
         self.state = 'draining'
@@ -557,6 +592,7 @@
             self.follow(primary)
             return entry in self.log
         self.log.append(entry)
+        self.received_s[entry.number] = time.monotonic()
         self.number = entry.number
         self.log_term = entry.term
         return True
@@ -584,14 +620,14 @@
                 return
             async with self._slots:
                 await asyncio.sleep(HANDSHAKE_S)
-            writer.write(f'READY I {self.position()}\r\n'.encode())
+            writer.write(f'READY I {self.applied_position()}\r\n'.encode())
             while True:
                 line = await self._read(reader)
                 if line == 'TERMINATE':
                     return
                 _, request, text = line.split(' ', 2)
                 lines = await self._run(session, request, text)
-                ready = f'READY {session["phase"]} {self.position()}'
+                ready = f'READY {session["phase"]} {self.applied_position()}'
                 writer.write('\r\n'.join((*lines, ready, '')).encode())
         except (OSError, asyncio.IncompleteReadError, ValueError):
             return
@@ -609,7 +645,7 @@
             position, _, text = fields.partition(' ')
             verb, _, fields = text.partition(' ')
             term, _, number = position.partition('.')
-            if (self.log_term, self.number) < (int(term), int(number)):
+            if (self.log_term, self.count_applied()) < (int(term), int(number)):
                 return ['ERROR LAGGING behind']
         if verb == 'EXECUTE':
             name, _, fields = fields.partition(' ')
@@ -643,8 +679,10 @@
             if item == fields:
                 return [f'ROW {content}', f'COMPLETE {self.name}.{request}']
         found = '-'
+        applied = self.count_applied()
+        self.read_positions[request] = (self.log_term, applied, self.name)
         for entry in self.log:
-            if entry.item == fields:
+            if entry.item == fields and entry.number <= applied:
                 found = entry.content
         return [f'ROW {found}', f'COMPLETE {self.name}.{request}']
 
@@ -756,7 +794,7 @@
         self._command = next(iter(roles.values()))['run'].split(' ')
         self._role = next(iter(roles))
 
-    def describe(self, machines, zones, store_port, cloud_port):
+    def describe(self, machines, zones, store_port, cloud_port, seeds=()):
         """Creates the settings of all machines.
 
         Args:
@@ -764,13 +802,19 @@
             zones: Region of each zone.
             store_port: Port of the store for each machine.
             cloud_port: Port of the promotion call for each machine.
+            seeds: Machines that are seeds; up to three if it is empty. A name
+                that isn't a machine stands for one that is gone.
         """
         control = {}
         for name in machines:
             # The range of internal ports must be free for the machine.
             front, ready, listen, internal = find_ports(4)
             control[name] = (front, ready, listen, internal)
-        seeds = [f'{LOOPBACK}:{ports[2]}' for ports in control.values()][:3]
+        seed_ports = [
+            control[seed][2] if seed in control else find_ports(1)[0]
+            for seed in (seeds or list(machines)[:3])
+        ]
+        seeds = [f'{LOOPBACK}:{port}' for port in seed_ports]
         for name, zone in machines.items():
             front, ready, listen, internal = control[name]
             self.ports[name] = front
@@ -894,6 +938,13 @@
         self.record.write(name, f'signal {signal.Signals(number).name}')
         process.send_signal(number)
 
+    async def restart(self, name, delay_s):
+        """Kills the process of a machine and starts it again."""
+        self.send_signal(name, signal.SIGKILL)
+        await self._processes[name].wait()
+        await asyncio.sleep(delay_s)
+        await self.start(name)
+
     def list_ended(self):
         """Returns the machines whose process has ended by itself."""
         return [
@@ -967,6 +1018,7 @@
         """Sends a statement; returns (word, detail, rows, phase)."""
         request = os.urandom(8).hex()
         sent_s = self.record.now()
+        self.last = (request, sent_s)
         self._writer.write(f'QUERY {request} {text}\r\n'.encode())
         rows = []
         word = ''
