--- a/review/2/case.py
+++ b/review/2/case.py
@@ -60,7 +60,11 @@
 async def case(record):
     """Plays the case; returns 1 if the rule was broken."""
     group = standins.Group(
-        record, lambda *row: store.put(*row), SERVICE, sync=0
+        record,
+        lambda *row: store.put(*row),
+        lambda *key: store.remove(*key),
+        SERVICE,
+        sync=0,
     )
     store = standins.Store(record, lambda _, name: group.promote(name))
     port = await store.start()
@@ -112,11 +116,11 @@
         await asyncio.sleep(SETTLE_S)
         cut = Cut(record, paths)
         cut.watch()
-        group.members['i-1'].drain()
-        await wait_for_order(cut)
+        first = asyncio.ensure_future(group.release('i-1', 'i-4'))
         await asyncio.sleep(RELEASE_GAP_S)
-        group.members['i-2'].drain()
-        await asyncio.sleep(CUT_S - RELEASE_GAP_S + OBSERVE_S)
+        second = asyncio.ensure_future(group.release('i-2', 'i-5'))
+        await asyncio.gather(first, second, wait_for_order(cut))
+        await asyncio.sleep(CUT_S + OBSERVE_S)
         stop.set()
         # Writes through the machine that was cut off are not judged.
         acknowledged = {}
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""A failover passes over the draining replica that has the acknowledged log."""
+"""A failover doesn't wait for the replica that has the acknowledged log."""
 
 import asyncio
 import pathlib
@@ -20,14 +20,22 @@
 SETTLE_S = 3.0
 # The site's replicas receive nothing for up to 6.5 s (replica_lag deaf crash).
 DEAF_S = 6.5
-CRASH_AFTER_S = 3.0
+# The site's longest crash of a replica is 4.91 s.
+REPLICA_DOWN_S = 4.9
+REPLICA_CRASH_AFTER_S = 2.5
+PRIMARY_CRASH_AFTER_S = 0.5
+PRIMARY_DOWN_S = 6.5
 OBSERVE_S = 12.0
 
 
 async def case(record):
     """Plays the case; returns 1 if the rule was broken."""
     group = standins.Group(
-        record, lambda *row: store.put(*row), SERVICE, sync=1
+        record,
+        lambda *row: store.put(*row),
+        lambda *key: store.remove(*key),
+        SERVICE,
+        sync=1,
     )
     store = standins.Store(record, lambda _, name: group.promote(name))
     port = await store.start()
@@ -65,9 +73,6 @@
             for index, name in enumerate(MACHINES)
         ]
         await asyncio.sleep(SETTLE_S)
-        # Planned work: the second member is to be replaced.
-        group.members['i-2'].drain()
-        await asyncio.sleep(1)
         if standins.has_trouble():
             await disrupt(record, group)
         await asyncio.sleep(OBSERVE_S)
@@ -86,8 +91,20 @@
     deaf.deaf = True
     record.write('i-3', f'receives nothing for {DEAF_S} s')
     asyncio.get_running_loop().call_later(DEAF_S, hear, record, group)
-    await asyncio.sleep(CRASH_AFTER_S)
-    group.members['i-1'].crash()
+    await asyncio.sleep(REPLICA_CRASH_AFTER_S)
+    replica = group.members['i-2']
+    replica.crash()
+    asyncio.get_running_loop().call_later(
+        REPLICA_DOWN_S,
+        lambda: asyncio.ensure_future(replica.come_back()),
+    )
+    await asyncio.sleep(PRIMARY_CRASH_AFTER_S)
+    primary = group.members['i-1']
+    primary.crash()
+    asyncio.get_running_loop().call_later(
+        PRIMARY_DOWN_S,
+        lambda: asyncio.ensure_future(primary.come_back()),
+    )
 
 
 def hear(record, group):
@@ -106,14 +123,14 @@
 
 def judge(record, group, acknowledged):
     """Checks the rule LOST for a service with syncReplicas."""
-    lost = 0
+    lost = set()
     for at_s, name, term in group.promotions:
         log = group.promoted_logs[term]
         for entry in group.list_entries():
             if entry.term >= term or entry in log:
                 continue
-            if entry.item in acknowledged:
-                lost += 1
+            if entry.item in acknowledged and entry not in lost:
+                lost.add(entry)
                 record.write(
                     'check',
                     f'LOST: {entry.item}, committed at {entry.member} at '
@@ -122,7 +139,7 @@
                 )
     record.write(
         'check',
-        f'{len(acknowledged)} writes acknowledged, {lost} lost; '
+        f'{len(acknowledged)} writes acknowledged, {len(lost)} lost; '
         f'{len(group.promotions)} promotions',
     )
     return 1 if lost else 0
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -28,7 +28,8 @@
 # The third seed was replaced before; seeds may be stale or down.
 SEEDS = (KILLED, PEER, 'front-gone-1')
 SETTLE_S = 3.0
-RELEASE_AFTER_S = 0.2
+# The store refuses them this long before the old primary drains.
+REFUSE_AHEAD_S = 0.2
 KILL_AFTER_S = 0.1
 RESTART_DELAY_S = 0.3
 OBSERVE_S = 12.0
@@ -37,7 +38,11 @@
 async def case(record):
     """Plays the case; returns 1 if the rule was broken."""
     group = standins.Group(
-        record, lambda *row: store.put(*row), SERVICE, sync=0
+        record,
+        lambda *row: store.put(*row),
+        lambda *key: store.remove(*key),
+        SERVICE,
+        sync=0,
     )
     store = standins.Store(record, lambda _, name: group.promote(name))
     ports = {name: await store.start(name) for name in MACHINES}
@@ -80,12 +85,13 @@
         reader = asyncio.ensure_future(
             keep_reading(record, balancer, machines.ports[KILLED], stop)
         )
+        release = asyncio.ensure_future(group.release('i-1', 'i-4'))
+        await asyncio.sleep(standins.START_AHEAD_S - REFUSE_AHEAD_S)
         if standins.has_trouble():
             record.write('store', f'refuses {KILLED} and {PEER}')
             store.refuse((KILLED, PEER))
             asyncio.get_running_loop().call_later(REFUSED_S, store.refuse, ())
-        await asyncio.sleep(RELEASE_AFTER_S)
-        group.members['i-1'].drain()
+        await release
         while not group.promotions:
             await asyncio.sleep(0.05)
         if standins.has_trouble():
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -31,7 +31,11 @@
 async def case(record):
     """Plays the case; returns 1 if the rule was broken."""
     group = standins.Group(
-        record, lambda *row: store.put(*row), SERVICE, sync=0
+        record,
+        lambda *row: store.put(*row),
+        lambda *key: store.remove(*key),
+        SERVICE,
+        sync=0,
     )
     store = standins.Store(record, lambda _, name: group.promote(name))
     port = await store.start()
--- a/review/harness/standins.py
+++ b/review/harness/standins.py
@@ -36,6 +36,10 @@
 HISTORY_S = 20
 # First retransmission of TCP on a short link.
 RETRANSMIT_S = 0.2
+# In planned work the new member starts this long before the old one drains.
+START_AHEAD_S = 1.0
+# A draining member ends this long after its report (drainMs is 7 s).
+DRAIN_S = 10.0
 
 
 class Record:
@@ -393,7 +397,7 @@
         promoted_logs: Log of the promoted member at the time, by term.
     """
 
-    def __init__(self, record, store_put, service, *, sync):
+    def __init__(self, record, store_put, store_remove, service, *, sync):
         self.record = record
         self.service = service
         self.sync = sync
@@ -403,6 +407,7 @@
         self.promotions = []
         self.promoted_logs = {}
         self._put = store_put
+        self._remove = store_remove
 
     def list_entries(self):
         """Returns all entries that any member has or had."""
@@ -417,6 +422,24 @@
         self.members[name] = member
         return member
 
+    async def release(self, name, new_name):
+        """Replaces a member as planned work: the new one starts first."""
+        old = self.members[name]
+        new = self.add(new_name, old.zone, 'replica')
+        await new.start()
+        for other in self.members.values():
+            if other.role == 'primary' and other.running:
+                new.follow(other)
+        self.record.write(new_name, f'starts in place of {name}')
+        await asyncio.sleep(START_AHEAD_S)
+        old.drain()
+        asyncio.get_running_loop().call_later(DRAIN_S, self._end, old)
+
+    def _end(self, member):
+        if member.running:
+            member.crash('ends after its drain')
+        self._remove('servers', member.name)
+
     def report(self, member):
         """Writes the entry of a member into the list of members."""
         self._put('servers', member.name, member.describe())
@@ -545,14 +568,31 @@
         self.group.record.write(self.name, 'reports draining')
         self.group.report(self)
 
-    def crash(self):
+    def crash(self, what='crashes'):
         """Stops answering at once and drops its connections."""
         self.running = False
-        self.group.record.write(self.name, f'crashes, log {self.position()}')
+        self.group.record.write(self.name, f'{what}, log {self.position()}')
         self._server.close()
         for writer in list(self._connections):
             writer.transport.abort()
 
+    async def come_back(self):
+        """Starts again after a crash, with its log."""
+        self._server = await asyncio.start_server(
+            self._serve, LOOPBACK, self.port
+        )
+        self.running = True
+        self.group.record.write(self.name, f'is back, log {self.position()}')
+        leaders = [
+            other
+            for other in self.group.members.values()
+            if other.role == 'primary' and other.running and other is not self
+        ]
+        if leaders:
+            self.role = 'replica'
+            self.follow(max(leaders, key=lambda other: other.term))
+        self.group.report(self)
+
     def lead(self, term):
         """Leads a term with the log that it has."""
         self.role = 'primary'
