--- a/review/4/case.py
+++ b/review/4/case.py
@@ -22,11 +22,9 @@
     'front-elefsina-1': 'elefsina',
 }
 # Two of six machines are turned away by the store, for up to 9 s in the site.
-KILLED = 'front-marousi-1'
-PEER = 'front-marousi-2'
 REFUSED_S = 9.0
-# The third seed was replaced before; seeds may be stale or down.
-SEEDS = (KILLED, PEER, 'front-gone-1')
+# A seed that was replaced before; seeds may be stale or down.
+GONE_SEED = 'front-gone-1'
 SETTLE_S = 3.0
 # The store refuses them this long before the old primary drains.
 REFUSE_AHEAD_S = 0.2
@@ -57,14 +55,24 @@
     ):
         await group.add(name, zone, role).start()
     machines = standins.Machines(record)
-    machines.describe(MACHINES, ZONES, ports, ports, SEEDS)
+    machines.describe(MACHINES, ZONES, ports, ports)
     stop = asyncio.Event()
     try:
         for name in MACHINES:
             await machines.start(name)
         if not await machines.wait_ready():
             return 2
-        others = [name for name in MACHINES if name not in {KILLED, PEER}]
+        await asyncio.sleep(SETTLE_S)
+        await group.release('i-1', 'i-4')
+        while not group.promotions:
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(SETTLE_S)
+        # Two machines that don't lead.
+        leader = store.orders[-1][1]
+        killed, peer = [name for name in MACHINES if name != leader][1:3]
+        machines.set_seeds(killed, (killed, peer, GONE_SEED))
+        old = group.promotions[-1][1]
+        others = [name for name in MACHINES if name not in {killed, peer}]
         writers = [
             asyncio.ensure_future(
                 standins.keep_writing(
@@ -80,23 +88,23 @@
             for index, name in enumerate(others)
         ]
         await asyncio.sleep(SETTLE_S)
-        balancer = Balancer(record, machines, KILLED)
+        balancer = Balancer(record, machines, killed)
         prober = asyncio.ensure_future(balancer.probe())
         reader = asyncio.ensure_future(
-            keep_reading(record, balancer, machines.ports[KILLED], stop)
+            keep_reading(record, balancer, machines.ports[killed], stop)
         )
-        release = asyncio.ensure_future(group.release('i-1', 'i-4'))
+        release = asyncio.ensure_future(group.release(old, 'i-5'))
         await asyncio.sleep(standins.START_AHEAD_S - REFUSE_AHEAD_S)
         if standins.has_trouble():
-            record.write('store', f'refuses {KILLED} and {PEER}')
-            store.refuse((KILLED, PEER))
+            record.write('store', f'refuses {killed} and {peer}')
+            store.refuse((killed, peer))
             asyncio.get_running_loop().call_later(REFUSED_S, store.refuse, ())
         await release
-        while not group.promotions:
+        while len(group.promotions) < 2:
             await asyncio.sleep(0.05)
         if standins.has_trouble():
             await asyncio.sleep(KILL_AFTER_S)
-            await machines.restart(KILLED, RESTART_DELAY_S)
+            await machines.restart(killed, RESTART_DELAY_S)
         await asyncio.sleep(OBSERVE_S)
         stop.set()
         acknowledged = {}
@@ -105,7 +113,7 @@
                 acknowledged[item] = at_s
         reads = await reader
         prober.cancel()
-        if {KILLED, PEER} & {order[1] for order in store.orders}:
+        if {killed, peer} & {order[1] for order in store.orders[1:]}:
             record.write('case', 'a refused machine led the failover')
             return 2
     finally:
--- a/review/harness/standins.py
+++ b/review/harness/standins.py
@@ -36,6 +36,7 @@
 HISTORY_S = 20
 # First retransmission of TCP on a short link.
 RETRANSMIT_S = 0.2
+_given_ports = set()
 # In planned work the new member starts this long before the old one drains.
 START_AHEAD_S = 1.0
 # A draining member ends this long after its report (drainMs is 7 s).
@@ -60,15 +61,28 @@
 
 
 def find_ports(count):
-    """Returns free TCP ports of the loopback address."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for opened in sockets:
-            opened.bind((LOOPBACK, 0))
-        return [opened.getsockname()[1] for opened in sockets]
-    finally:
-        for opened in sockets:
-            opened.close()
+    """Returns ports of the loopback address that are free for TCP and UDP.
+
+    They lie below the usual range of ports of outgoing connections, so that none
+    takes a port before the process that it is for.
+    """
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(12000, 30000)
+        if port in _given_ports:
+            continue
+        with (
+            socket.socket() as tcp,
+            socket.socket(type=socket.SOCK_DGRAM) as udp,
+        ):
+            try:
+                tcp.bind((LOOPBACK, port))
+                udp.bind((LOOPBACK, port))
+            except OSError:
+                continue
+        _given_ports.add(port)
+        ports.append(port)
+    return ports
 
 
 class Store:
@@ -834,7 +848,7 @@
         self._command = next(iter(roles.values()))['run'].split(' ')
         self._role = next(iter(roles))
 
-    def describe(self, machines, zones, store_port, cloud_port, seeds=()):
+    def describe(self, machines, zones, store_port, cloud_port):
         """Creates the settings of all machines.
 
         Args:
@@ -842,19 +856,13 @@
             zones: Region of each zone.
             store_port: Port of the store for each machine.
             cloud_port: Port of the promotion call for each machine.
-            seeds: Machines that are seeds; up to three if it is empty. A name
-                that isn't a machine stands for one that is gone.
         """
         control = {}
         for name in machines:
             # The range of internal ports must be free for the machine.
             front, ready, listen, internal = find_ports(4)
             control[name] = (front, ready, listen, internal)
-        seed_ports = [
-            control[seed][2] if seed in control else find_ports(1)[0]
-            for seed in (seeds or list(machines)[:3])
-        ]
-        seeds = [f'{LOOPBACK}:{port}' for port in seed_ports]
+        seeds = [f'{LOOPBACK}:{ports[2]}' for ports in control.values()][:3]
         for name, zone in machines.items():
             front, ready, listen, internal = control[name]
             self.ports[name] = front
@@ -948,6 +956,20 @@
                 },
             }
 
+    def set_seeds(self, name, seeds):
+        """Changes the seeds that a machine finds at its next start.
+
+        Args:
+            name: The machine.
+            seeds: Machines; a name that isn't one stands for one that is gone.
+        """
+        self._settings[name]['seeds'] = [
+            self._settings[seed]['listen']['control']
+            if seed in self._settings
+            else f'{LOOPBACK}:{find_ports(1)[0]}'
+            for seed in seeds
+        ]
+
     async def start(self, name):
         """Starts the daemon of a machine with the deploy file's command."""
         path = self._folder / f'{name}.yaml'
