Withdraw promotion orders that were given up

Cause: a call that is given up was closed by close(), after which the kernel goes on sending its bytes. The wait of a new leader (2.5 s) assumed that this ends with the time limit of the call. That limit also left out the 1 s that opening the connection may take, and did not count suspensions.

Outgoing HTTP connections now have a lingering time of 0 s, so closing them, also by the end of the process, resets them and discards what was not delivered. An order carries its expiry, 2 s after its row was written; it is not sent later, and the kernel drops the connection at that time (TCP_USER_TIMEOUT), also if the process is frozen. The wait of a new leader is derived from this lifetime.

--- a/poplarspoke/control/failover.py
+++ b/poplarspoke/control/failover.py
@@ -57,9 +57,11 @@
 CHOICE_TIMEOUT_S = 0.5
 # A switchover waits this long for a replica to receive the whole log.
 CATCH_UP_TIMEOUT_S = 2.5
-# An order is sent only within this time after its write was sent, so that a new
-# leader knows when the former one can no longer order.
+# An order is sent only within this time after its write was sent.
 MAX_ORDER_DELAY_S = 1.0
+# An order is withdrawn this long after its write was sent, so that a new leader
+# knows when those of the former one can no longer reach the platform.
+ORDER_LIFETIME_S = 2.0
 # A promotion takes 0.3 s to 1 s.
 CONFIRM_TIMEOUT_S = 6.0
 CONFIRM_INTERVAL_S = 0.1
@@ -382,6 +384,7 @@
         failover['candidate'],
         state['settings'].name,
         state['duty'].record.token,
+        step.sent_s + ORDER_LIFETIME_S,
     )
     line = _log(failover, 'promotion ordered', now_s, failover['candidate'])
     return [line, ToStore(order)]
--- a/poplarspoke/control/feeds.py
+++ b/poplarspoke/control/feeds.py
@@ -92,9 +92,9 @@
         self,
         order: OrderPromotion,
         *,
-        timeout_s: float,
+        now_s: Callable[[], float],
     ) -> PromotionAnswered:
-        """Orders a promotion on a separate connection."""
+        """Orders a promotion on a separate connection until it expires."""
 
 
 class Feeds:
@@ -322,7 +322,7 @@
     async def _promote(self, order: OrderPromotion) -> None:
         try:
             async with self._connect() as client:
-                answer = await client.promote(order, timeout_s=ANSWER_TIMEOUT_S)
+                answer = await client.promote(order, now_s=self._now_s)
         except errors.PoplarspokeError:
             # The control task logs status 0 and repeats the order.
             answer = PromotionAnswered(order.service, order.endpoint)
--- a/poplarspoke/control/leadership.py
+++ b/poplarspoke/control/leadership.py
@@ -69,9 +69,9 @@
 # endpoint is alive. It is shorter than the time without an answer after which a
 # host reports an endpoint, so that the answer came after that time began.
 MAX_ANSWER_AGE_S = 0.35
-# After this time a former leader can no longer order a promotion: an order is
-# sent at most 1 s after its write, on a connection that times out 1 s later.
-FORMER_LEADER_WAIT_S = 2.5
+# After this time no order of a former leader can reach the platform any more. The
+# margin covers the last bytes on the network and slightly different clocks.
+FORMER_LEADER_WAIT_S = failover.ORDER_LIFETIME_S + 0.5
 UNRESPONSIVE = 'silent'
 
 
--- a/poplarspoke/platform/metadata.py
+++ b/poplarspoke/platform/metadata.py
@@ -2,7 +2,7 @@
 
 import base64
 import json
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any, NamedTuple, Self
 from urllib.parse import urlencode
 
@@ -202,13 +202,17 @@
         self,
         order: OrderPromotion,
         *,
-        timeout_s: float,
+        now_s: Callable[[], float],
     ) -> PromotionAnswered:
-        """Orders a promotion.
+        """Orders a promotion, which is withdrawn when the order expires.
+
+        Args:
+            order: Order to send.
+            now_s: Clock in seconds by which the order expires.
 
         Raises:
             errors.PoplarspokeError: No complete answer arrived; the order may
-                have taken effect.
+                have taken effect, but takes none after its expiry.
         """
         body = {'service': order.service, 'id': order.endpoint}
         request = web.Request(
@@ -221,7 +225,11 @@
             json.dumps(body).encode(),
         )
         async with await web.connect(self._promotion_address) as connection:
-            response = await connection.send(request, timeout_s=timeout_s)
+            left_s = order.expires_s - now_s()
+            if left_s <= 0:
+                raise web.NotSentError('the order has expired')
+            connection.limit_delivery(left_s)
+            response = await connection.send(request, timeout_s=left_s)
         return PromotionAnswered(order.service, order.endpoint, response.status)
 
     async def _get(
--- a/poplarspoke/schema/control.capnp
+++ b/poplarspoke/schema/control.capnp
@@ -142,6 +142,7 @@
   endpoint @1 :Text;
   holder @2 :Text;
   token @3 :UInt64;
+  expiresS @4 :Float64;  # Boot clock of the sender; not delivered afterwards.
 }
 
 struct PromotionAnswered {
--- a/poplarspoke/web.py
+++ b/poplarspoke/web.py
@@ -15,7 +15,7 @@
 from anyio.abc import ByteStream, TaskGroup
 
 from poplarspoke import codec as message_codec
-from poplarspoke import errors
+from poplarspoke import errors, outbound
 from poplarspoke.addresses import split_address
 from poplarspoke.generated.common import ErrorCode
 
@@ -210,9 +210,25 @@
         return self
 
     async def __aexit__(self, *_exc: object) -> None:
-        """Closes the socket without waiting for the peer."""
+        """Resets the connection, which withdraws an unanswered request."""
         await anyio.aclose_forcefully(self._stream)
 
+    def limit_delivery(self, limit_s: float) -> None:
+        """Withdraws requests that do not reach the server within a time.
+
+        The kernel keeps to the limit, also while this process is frozen.
+
+        Args:
+            limit_s: Time in seconds.
+
+        Raises:
+            NotSentError: The connection has already ended.
+        """
+        try:
+            outbound.limit_delivery(_find_socket(self._stream), limit_s)
+        except OSError as exc:
+            raise NotSentError(f'{self._address} has disconnected') from exc
+
     async def send(
         self,
         request: Request,
@@ -293,6 +309,7 @@
     try:
         with anyio.fail_after(CONNECT_TIMEOUT_S):
             stream = await anyio.connect_tcp(*split_address(address))
+            outbound.discard_on_close(_find_socket(stream))
     except errors.CONNECT_ERRORS as exc:
         raise NotSentError(f'{address} refused the connection') from exc
     return HttpConnection(stream, address)
@@ -316,6 +333,10 @@
     return message_codec.parse(message_type, source)
 
 
+def _find_socket(stream: ByteStream) -> outbound.SocketOptions:
+    return stream.extra(anyio.abc.SocketAttribute.raw_socket)
+
+
 def _create_codec(role: type[h11.SERVER | h11.CLIENT]) -> h11.Connection:
     return h11.Connection(role, max_incomplete_event_size=MAX_HEADER_BYTES)
 
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -1,6 +1,7 @@
 """Reads and watches of the metadata store."""
 
 import random
+from collections.abc import Callable
 from typing import Any, Self
 
 import anyio
@@ -71,7 +72,7 @@
         return RecordsWritten(change.correlation, accepted=True, known=True)
 
     async def promote(
-        self, order: OrderPromotion, *, timeout_s: float
+        self, order: OrderPromotion, *, now_s: Callable[[], float]
     ) -> PromotionAnswered:
         """Accepts an order."""
         self._check()
