Wait for a former leader from when the claim took effect

The store may perform a claim of leadership seconds after it was sent. The new leader counted its wait for orders of the former one from when it had sent the claim, while the former leader went on to order until the claim took effect, so a lower token could still reach the platform after a higher one.

The wait now starts when this host sees that it is the leader.

The stand-in of the store can hold up writes.

--- a/poplarspoke/control/leadership.py
+++ b/poplarspoke/control/leadership.py
@@ -462,6 +462,7 @@
     # later leader if this one was informed until the restore.
     is_successor = not is_leader(state) or not state['is_informed']
     wait_s = FORMER_LEADER_WAIT_S if lease.record.holder and is_successor else 0
+    state['former_leader_wait_s'] = wait_s
     state['first_order_s'] = max(
         now_s + wait_s, state['unknown_leases_until_s']
     )
--- a/poplarspoke/control/state.py
+++ b/poplarspoke/control/state.py
@@ -287,6 +287,8 @@
             this host's relay.
         changes: Failovers that this host carries out, by service.
         writes: Purpose of each pending write, by its number.
+        former_leader_wait_s: How long this host, as a new leader, waits for
+            orders of the former one.
         first_order_s: Earliest time at which this host, as a new leader, may
             order a promotion.
         next_claim_s: Earliest time of the next claim of the leader lease.
@@ -365,6 +367,7 @@
     changes: dict[str, Failover]
     writes: dict[int, Purpose]
     next_write: int
+    former_leader_wait_s: float
     first_order_s: float
     next_claim_s: float
     leader_last_response_s: float
@@ -435,6 +438,7 @@
         changes={},
         writes={},
         next_write=1,
+        former_leader_wait_s=0,
         first_order_s=0,
         next_claim_s=0,
         leader_last_response_s=0,
--- a/poplarspoke/control/tables.py
+++ b/poplarspoke/control/tables.py
@@ -427,6 +427,10 @@
             report['next_s'] = now_s
         state['leader_last_response_s'] = 0
         state['leader_last_contact_s'] = now_s
+        # The claim may have taken effect long after it was sent, and the former
+        # leader ordered until then.
+        first_s = now_s + state['former_leader_wait_s']
+        state['first_order_s'] = max(state['first_order_s'], first_s)
     state['duty'] = VersionedLeader(record, row.version)
 
 
--- a/tests/control_simulation.py
+++ b/tests/control_simulation.py
@@ -69,6 +69,8 @@
         rows: Rows of the records, by key.
         store_unreachable: Hosts that the store does not answer.
         unanswered: Hosts whose writes take effect without an answer.
+        delayed: Hosts whose writes the store holds up.
+        held_writes: Writes that the store has not performed yet, by host.
         unreachable: Hosts that neither send nor receive datagrams.
         partitioned: Zones that exchange no datagrams with other zones.
         dead: Endpoints that do not answer.
@@ -88,6 +90,8 @@
         self.rows: dict[str, TableRow] = {}
         self.store_unreachable: set[str] = set()
         self.unanswered: set[str] = set()
+        self.delayed: set[str] = set()
+        self.held_writes: list[tuple[str, WriteRecords]] = []
         self.unreachable: set[str] = set()
         self.orders: list[OrderPromotion] = []
         self.hosts: dict[str, ControlState] = {}
@@ -240,8 +244,18 @@
         if isinstance(outgoing.message, OrderPromotion):
             self._promote_endpoint(name, outgoing.message)
             return
+        if name in self.delayed:
+            self.held_writes.append((name, outgoing.message))
+            return
         self._write_rows(name, outgoing.message)
 
+    def perform_writes(self) -> None:
+        """Performs the writes that were held up, if their conditions hold."""
+        self.delayed.clear()
+        for name, change in self.held_writes:
+            self._write_rows(name, change)
+        self.held_writes.clear()
+
     def find_zone(self, name: str) -> str:
         """Returns the zone of a host."""
         return f'z{int(name[1:]) % self._zones + 1}'
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from poplarspoke.control import failover, retirement, tables
+from poplarspoke.control import failover, leadership, retirement, tables
 from poplarspoke.control.state import PRIMARY_LEASE_S, RECORDS, RULES
 from poplarspoke.generated.common import Position
 from poplarspoke.generated.control import (
@@ -250,6 +250,31 @@
     assert [order.token for order in simulation.orders] == [5]
 
 
+# Guards against two leaders whose orders arrive in the wrong order: the store may
+# perform a claim long after it was sent, and the former leader orders until then.
+def test_wait_for_a_former_leader_starts_with_the_claim(
+    simulation: ControlSimulation,
+) -> None:
+    """The claim of the new leader takes effect seconds after it was sent."""
+    leader = simulation.read_record('duty')['holder']
+    successor = next(host for host in simulation.hosts if host != leader)
+    simulation.delayed.add(successor)
+    state = simulation.hosts[successor]
+    for outgoing in leadership.claim(state, simulation.now_s):
+        simulation.perform(successor, outgoing)
+    simulation.run(leadership.FORMER_LEADER_WAIT_S)
+    simulation.perform_writes()
+    claimed_s = simulation.now_s
+    assert simulation.read_record('duty')['holder'] == successor
+    # No other wait hides the one for the former leader.
+    complete = simulation.members['m2']._replace(received=Position(1, 10))
+    simulation.members['m2'] = complete
+    simulation.set_entry('m1', draining=True)
+    while not simulation.orders:
+        simulation.run(0.1)
+    assert simulation.now_s - claimed_s > failover.ORDER_LIFETIME_S
+
+
 def test_claims_of_leadership_have_a_backoff(
     simulation: ControlSimulation,
 ) -> None:
