Reset connections to members and hosts that are given up

What had been sent on a connection that this process closed was still delivered after a partition:

- a demotion of an earlier failover, which could reach a member that the next one had kept or chosen, and leave the service without a primary;
- a write whose caller was told that its outcome is unknown.
The answer stays true, but the write could run after the caller's next one;
- frames to a gateway and statements to a host of the HTTP daemon.

All outgoing connections of the daemons now reset when they close and are dropped by the kernel after 2 s without an acknowledgement. `outbound` is called `delivery`, since `peers` uses that name for a message.

Not changed, since late ones carry a condition that is checked on arrival: writes of the store (expected versions), PAUSE and RESUME (not used), releases and their requests (number of the failover), answers to reports (token), notifications of rows (version). A late Reachability may count in a later assessment of the same member; the leader's own query decides too.

test_demotion_that_was_given_up_is_not_delivered and test_write_that_was_given_up_is_not_delivered failed before: none of the 18 and 56 bytes that were held up were withdrawn.

--- a/poplarspoke/control/queries.py
+++ b/poplarspoke/control/queries.py
@@ -4,10 +4,10 @@
 from typing import Any, NamedTuple, Self
 
 import anyio
-from anyio.abc import ByteStream, TaskGroup
+from anyio.abc import ByteStream, SocketAttribute, TaskGroup
 from anyio.streams.buffered import BufferedByteReceiveStream
 
-from poplarspoke import errors
+from poplarspoke import delivery, errors
 from poplarspoke.addresses import split_address
 from poplarspoke.generated.control import EndpointState, QueryEndpoint
 from poplarspoke.generated.relay import OpenConnection
@@ -80,6 +80,8 @@
     async def _exchange(self, query: QueryEndpoint) -> EndpointState:
         address = split_address(query.address)
         async with await anyio.connect_tcp(*address) as stream:
+            # A late demotion could reach the primary of the next failover.
+            delivery.discard_on_close(stream.extra(SocketAttribute.raw_socket))
             opening = OpenConnection(
                 0, query.address, query.service, query.endpoint
             )
--- a/poplarspoke/peers.py
+++ b/poplarspoke/peers.py
@@ -5,7 +5,6 @@
 """
 
 import secrets
-import socket
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple, Self, TypeAlias, TypeVar
 
@@ -16,7 +15,7 @@
     MemoryObjectSendStream,
 )
 
-from poplarspoke import codec, errors, wire
+from poplarspoke import codec, delivery, errors, wire
 from poplarspoke.generated.common import ErrorCode, Outcome
 from poplarspoke.generated.peers import PeerFrame
 from poplarspoke.generated.requests import Statement, StatementResult
@@ -26,9 +25,6 @@
 BATCH_SIZE = 64
 RECONNECT_BACKOFF_S = 0.2
 CONNECT_TIMEOUT_S = 1.0
-# The kernel closes a link whose sent data is unacknowledged for this long.
-# Heartbeats ensure that there is always such data.
-USER_TIMEOUT_MS = 2000
 LINK_ERRORS = (
     OSError,
     TimeoutError,
@@ -94,7 +90,8 @@
         with anyio.fail_after(CONNECT_TIMEOUT_S):
             stream = await anyio.connect_tcp(host, int(port))
         async with stream:
-            _set_user_timeout(stream)
+            # Heartbeats ensure that there are always bytes to acknowledge.
+            delivery.discard_on_close(_find_socket(stream))
             frames = wire.FrameStream(stream)
             nonce = secrets.token_bytes(wire.NONCE_BYTES)
             await wire.connect_link(frames, wire.LinkIdentity(*identity, nonce))
@@ -253,7 +250,9 @@
 
     async def _accept(self, stream: SocketStream) -> None:
         async with stream:
-            _set_user_timeout(stream)
+            delivery.limit_delivery(
+                _find_socket(stream), delivery.UNACKNOWLEDGED_LIMIT_S
+            )
             frames = wire.FrameStream(stream)
             nonce = secrets.token_bytes(wire.NONCE_BYTES)
             identity = wire.LinkIdentity(*self._identity, nonce)
@@ -358,10 +357,5 @@
         return
 
 
-def _set_user_timeout(stream: SocketStream) -> None:
-    raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
-    raw.setsockopt(
-        socket.IPPROTO_TCP,
-        socket.TCP_USER_TIMEOUT,
-        USER_TIMEOUT_MS,
-    )
+def _find_socket(stream: SocketStream) -> delivery.SocketOptions:
+    return stream.extra(anyio.abc.SocketAttribute.raw_socket)
--- a/poplarspoke/relay/links.py
+++ b/poplarspoke/relay/links.py
@@ -12,7 +12,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from poplarspoke import codec, errors
+from poplarspoke import codec, delivery, errors
 from poplarspoke.addresses import split_address
 from poplarspoke.generated.gateways import LinkFrame, OpenLink
 from poplarspoke.generated.relay import LogDecision
@@ -230,6 +230,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Registers the link."""
         super().connection_made(transport)
+        delivery.discard_on_close(transport.get_extra_info('socket'))
         self.links.add_gateway(self._host, self.transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/poplarspoke/relay/transport.py
+++ b/poplarspoke/relay/transport.py
@@ -14,7 +14,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from poplarspoke import errors, invariants
+from poplarspoke import delivery, errors, invariants
 from poplarspoke.addresses import split_address
 from poplarspoke.generated.common import Position, Tick
 from poplarspoke.generated.relay import (
@@ -320,6 +320,8 @@
             # A decision closed it while it was being opened.
             self._transport.abort()
             return
+        # A statement that was given up must not run after its caller's next one.
+        delivery.discard_on_close(transport.get_extra_info('socket'))
         self.relay.endpoints[number] = self._transport
         self._transport.write(self.relay.codec.encode_start(self._message))
 
--- a/poplarspoke/web.py
+++ b/poplarspoke/web.py
@@ -15,7 +15,7 @@
 from anyio.abc import ByteStream, TaskGroup
 
 from poplarspoke import codec as message_codec
-from poplarspoke import errors, outbound
+from poplarspoke import delivery, errors
 from poplarspoke.addresses import split_address
 from poplarspoke.generated.common import ErrorCode
 
@@ -225,7 +225,7 @@
             NotSentError: The connection has already ended.
         """
         try:
-            outbound.limit_delivery(_find_socket(self._stream), limit_s)
+            delivery.limit_delivery(_find_socket(self._stream), limit_s)
         except OSError as exc:
             raise NotSentError(f'{self._address} has disconnected') from exc
 
@@ -309,7 +309,7 @@
     try:
         with anyio.fail_after(CONNECT_TIMEOUT_S):
             stream = await anyio.connect_tcp(*split_address(address))
-            outbound.discard_on_close(_find_socket(stream))
+            delivery.discard_on_close(_find_socket(stream))
     except errors.CONNECT_ERRORS as exc:
         raise NotSentError(f'{address} refused the connection') from exc
     return HttpConnection(stream, address)
@@ -333,7 +333,7 @@
     return message_codec.parse(message_type, source)
 
 
-def _find_socket(stream: ByteStream) -> outbound.SocketOptions:
+def _find_socket(stream: ByteStream) -> delivery.SocketOptions:
     return stream.extra(anyio.abc.SocketAttribute.raw_socket)
 
 
--- a/tests/test_late_requests.py
+++ b/tests/test_late_requests.py
@@ -12,11 +12,19 @@
 import anyio
 import pytest
 
-from poplarspoke import outbound, web
-from poplarspoke.generated.control import OrderPromotion
+from poplarspoke import delivery, web
+from poplarspoke.control.queries import Queries
+from poplarspoke.generated.control import (
+    EndpointState,
+    OrderPromotion,
+    QueryEndpoint,
+)
+from poplarspoke.platform import __main__ as adapter
 from poplarspoke.platform.metadata import Metadata
 from poplarspoke.standins.metadata import MetadataStandIn
 from poplarspoke.standins.partition import PartitionedPath
+from poplarspoke.standins.session_member import Service
+from tests.test_session_host import Site, run_steps
 
 TEST_TIMEOUT_S = 60  # Ends a test that hangs; tests may run on a busy machine.
 ORDER = OrderPromotion('group', 'm2', 'h0', 1, expires_s=0.2)
@@ -140,13 +148,13 @@
 ) -> None:
     """A process that is frozen closes nothing."""
     limits_s: list[float] = []
-    limit_delivery = outbound.limit_delivery
+    limit_delivery = delivery.limit_delivery
 
-    def record(raw: outbound.SocketOptions, limit_s: float) -> None:
+    def record(raw: delivery.SocketOptions, limit_s: float) -> None:
         limits_s.append(limit_s)
         limit_delivery(raw, limit_s)
 
-    monkeypatch.setattr(outbound, 'limit_delivery', record)
+    monkeypatch.setattr(delivery, 'limit_delivery', record)
 
     async def steps(harness: Harness) -> None:
         address = harness.platform.address
@@ -155,3 +163,63 @@
         assert limits_s[-1] == ORDER.expires_s
 
     run_harness(steps)
+
+
+# Guards against a demotion that reaches the primary of a later failover.
+def test_demotion_that_was_given_up_is_not_delivered() -> None:
+    """The next failover may have kept or chosen the same member."""
+
+    async def run() -> None:
+        posted: list[EndpointState] = []
+
+        def post(message: EndpointState) -> bool:
+            posted.append(message)
+            return True
+
+        async with AsyncExitStack() as stack:
+            service = Service('group', ('m1',))
+            await stack.enter_async_context(service)
+            member = f'127.0.0.1:{service.members[0].port}'
+            path = PartitionedPath(member)
+            await stack.enter_async_context(path)
+            path.cut_before(b'DEMOTE')
+            queries = Queries(adapter.create_query_codec(), post=post)
+            await stack.enter_async_context(queries)
+            queries.send(QueryEndpoint('group', 'm1', path.address, 5))
+            while not posted:
+                await anyio.sleep(0.01)
+            path.heal()
+            await anyio.sleep(DELIVERY_S)
+            assert not posted[0].answered
+            assert path.held_bytes
+            assert path.lost_bytes == path.held_bytes
+
+    anyio.run(run)
+
+
+# Guards against a write that runs after later ones of the same caller.
+def test_write_that_was_given_up_is_not_delivered() -> None:
+    """Its caller was told that the outcome is unknown and may write again."""
+
+    async def steps(site: Site) -> None:
+        member = f'127.0.0.1:{site.service.members[0].port}'
+        async with PartitionedPath(member) as path:
+            site.addresses['m1'] = path.address
+            site.write_entry('m1')
+            relay = site.hosts[0].relay.state
+            await site.wait(
+                lambda: (
+                    relay['endpoints']['m1']['entry'].address == path.address
+                )
+            )
+            caller = await site.connect()
+            await caller.start('primary')
+            path.cut_before(b'WRITE')
+            answer = await caller.query('WRITE 1 a')
+            assert answer[0].startswith('ERROR INDOUBT')
+            path.heal()
+            await anyio.sleep(DELIVERY_S)
+            assert path.held_bytes
+            assert path.lost_bytes == path.held_bytes
+
+    run_steps(1, steps)
--- a/tests/test_session_host.py
+++ b/tests/test_session_host.py
@@ -102,6 +102,8 @@
         self.hosts: list[session_host.SessionHost] = []
         self.settings: list[HostSettings] = []
         self.log = io.StringIO()
+        # Addresses that entries name in place of the members' own.
+        self.addresses: dict[str, str] = {}
 
     async def start(self, hosts: int) -> None:
         """Starts the store, the members and the hosts."""
@@ -140,10 +142,11 @@
     def write_entry(self, name: str, state: str = 'ready') -> None:
         """Writes the entry of a member."""
         ports = dict(self.service.members)
+        address = self.addresses.get(name, f'127.0.0.1:{ports[name]}')
         is_primary = self.service.log['primary'] == name
         entry = {
             'service': 'group',
-            'address': f'127.0.0.1:{ports[name]}',
+            'address': address,
             'zone': 'z1',
             'slots': 2,
             'state': state,
