Promote only members with all commits that replicas must receive

Cause: nothing read syncReplicas. The choice took the longest log among the members that answered within 0.5 s. It also left out members that drain, although they count, and a primary that answered too late.

The choice is a module of its own, control/candidates.py: members with their answers, setting and time in, candidate or reason to wait out. With synchronous replicas it needs the end of the demoted primary's log, or so many answers that at least one is from a replica that has received the last acknowledged commit. Members that are no longer registered are still asked for. If only a draining member or the old primary has the log, it leads until the others have received it. Only answers to queries sent after the hosts have released the primary count, since commits may be acknowledged until then. The wait ends when a member comes back or the operators set syncReplicas to 0; callers are refused at once meanwhile, the log says what is waited for ("candidate awaited", "candidate chosen") and poplarspoke_control_awaited_candidates counts it.

Without synchronous replicas the choice is as before.

--- /dev/null
+++ b/poplarspoke/control/candidates.py
@@ -0,0 +1,246 @@
+"""Choice of the endpoint that a failover promotes.
+
+An acknowledged commit must be in the log of the promoted member, as with Raft's
+election restriction: the last term counts first, then the length of the log. With
+synchronous replication a commit is acknowledged once some replicas have received
+it, so the choice needs the log of the old primary, or so many answers that at
+least one is from a replica that has received the last acknowledged commit.
+"""
+
+from typing import NamedTuple, TypeAlias
+
+from poplarspoke.generated.common import Position
+from poplarspoke.generated.control import EndpointState
+from poplarspoke.generated.rules import EndpointRole
+
+# Without synchronous replication, members that do not answer within this time are
+# not waited for.
+ANSWER_TIMEOUT_S = 0.5
+# Replicas receive the end of a demoted primary's log within this time.
+CATCH_UP_TIMEOUT_S = 2.5
+EMPTY_LOG = Position()
+
+
+class GroupMember(NamedTuple):
+    """A member of a group, as the leader knows it.
+
+    Attributes:
+        endpoint: Name of the member.
+        answer: Its state, from a query that was sent after the hosts had released
+            the old primary; None without an answer.
+        is_leaving: Whether it is draining or in an evacuated zone.
+        is_excluded: Whether the platform could not promote it.
+        is_gone: Whether it is no longer registered.
+    """
+
+    endpoint: str
+    answer: EndpointState | None = None
+    is_leaving: bool = False
+    is_excluded: bool = False
+    is_gone: bool = False
+
+
+class Situation(NamedTuple):
+    """What is known when a candidate is to be chosen.
+
+    Attributes:
+        old: The old primary.
+        others: The other members, also those that are gone and may come back.
+        term: Newest term that is known to have had a primary.
+        sync_replicas: Number of replicas that have received a commit when it is
+            acknowledged.
+        is_planned: Whether the old primary may still answer and then be demoted.
+        waited_s: Time in seconds since the hosts released the old primary.
+    """
+
+    old: GroupMember
+    others: tuple[GroupMember, ...]
+    term: int
+    sync_replicas: int
+    is_planned: bool
+    waited_s: float
+
+
+class Chosen(NamedTuple):
+    """The candidate.
+
+    Attributes:
+        endpoint: Name of the candidate.
+        reason: Why it may lead, for the log.
+    """
+
+    endpoint: str
+    reason: str
+
+
+class Undecided(NamedTuple):
+    """No member may be promoted yet.
+
+    Attributes:
+        reason: What is waited for, for the log.
+    """
+
+    reason: str
+
+
+Choice: TypeAlias = Chosen | Undecided
+
+
+def choose(situation: Situation) -> Choice:
+    """Returns the candidate, or why there is none yet."""
+    candidates = [
+        member
+        for member in situation.others
+        if _may_be_promoted(member) and not member.is_leaving
+    ]
+    for member in candidates:
+        if is_newer_primary(member.answer, situation.term):
+            return Chosen(member.endpoint, 'already the primary')
+    if situation.sync_replicas:
+        return _choose_safe(situation, candidates)
+    return _choose_longest(situation, candidates)
+
+
+def is_newer_primary(answer: EndpointState | None, term: int) -> bool:
+    """Returns whether a member is the primary of a newer term.
+
+    A superseded primary that could not be demoted still reports that role.
+    """
+    if answer is None or answer.role is not EndpointRole.PRIMARY:
+        return False
+    return answer.term > term
+
+
+def describe(situation: Situation) -> str:
+    """Returns the inputs of a choice for the log."""
+    members = (situation.old, *situation.others)
+    logs = ', '.join(map(_describe_member, members))
+    return (
+        f'{logs}; term {situation.term}, '
+        f'{situation.sync_replicas} synchronous replicas'
+    )
+
+
+def _choose_safe(situation: Situation, candidates: list[GroupMember]) -> Choice:
+    """Chooses a member that provably has all acknowledged commits.
+
+    If no member that stays has them, one that leaves is promoted, so that the
+    others receive its log before it is replaced.
+    """
+    bound = _find_bound(situation)
+    if bound is None:
+        missing = ','.join(_list_missing(situation))
+        return Undecided(f'acknowledged commits may be only on {missing}')
+    holders = [member for member in candidates if _find_log(member) >= bound]
+    if not holders and _is_caught_up(situation):
+        members = (*situation.others, situation.old)
+        holders = [
+            member
+            for member in members
+            if _may_be_promoted(member) and _find_log(member) >= bound
+        ][:1]
+    if not holders:
+        return Undecided(f'no member that answers has the log up to {bound}')
+    longest = _find_longest(holders)
+    return Chosen(longest.endpoint, 'has all acknowledged commits')
+
+
+def _choose_longest(
+    situation: Situation, candidates: list[GroupMember]
+) -> Choice:
+    """Chooses the longest log among the members that answer in time."""
+    if not candidates:
+        return Undecided('no member answers')
+    longest = _find_longest(candidates)
+    old_log = _find_old_log(situation)
+    if old_log is not None and situation.waited_s < CATCH_UP_TIMEOUT_S:
+        if _find_log(longest) < old_log:
+            return Undecided('no member has the log of the old primary')
+        return Chosen(longest.endpoint, 'has the log of the old primary')
+    if situation.waited_s < ANSWER_TIMEOUT_S:
+        if situation.is_planned or _is_awaited(situation):
+            return Undecided('not all members have answered')
+    return Chosen(longest.endpoint, 'has the longest log')
+
+
+def _find_bound(situation: Situation) -> Position | None:
+    """Returns the position up to which commits may be acknowledged.
+
+    The result is None if members without an answer may have received more.
+    """
+    old_log = _find_old_log(situation)
+    if old_log is not None:
+        return old_log
+    if len(_list_missing(situation)) >= situation.sync_replicas:
+        return None
+    return max(map(_find_log, situation.others), default=EMPTY_LOG)
+
+
+def _find_old_log(situation: Situation) -> Position | None:
+    """Returns the end of the old primary's log, once it commits no more.
+
+    A primary that has started again without its log answers with a shorter one
+    than its replicas, which proves nothing.
+    """
+    answer = situation.old.answer
+    if answer is None or answer.role is EndpointRole.PRIMARY:
+        return None
+    longest = max(map(_find_log, situation.others), default=EMPTY_LOG)
+    return answer.received if answer.received >= longest else None
+
+
+def _list_missing(situation: Situation) -> list[str]:
+    """Returns the replicas whose log is not known.
+
+    One with an empty log has started again; what it had received is gone.
+    """
+    logs = [_find_log(member) for member in situation.others]
+    is_empty = max(logs, default=EMPTY_LOG) == EMPTY_LOG
+    return [
+        member.endpoint
+        for member, log in zip(situation.others, logs, strict=True)
+        if member.answer is None or (log == EMPTY_LOG and not is_empty)
+    ]
+
+
+def _is_caught_up(situation: Situation) -> bool:
+    """Returns whether no other member will receive more of the log."""
+    if situation.old.answer is None:
+        return True
+    return situation.waited_s >= CATCH_UP_TIMEOUT_S
+
+
+def _is_awaited(situation: Situation) -> bool:
+    return any(
+        member.answer is None and not member.is_excluded and not member.is_gone
+        for member in situation.others
+    )
+
+
+def _may_be_promoted(member: GroupMember) -> bool:
+    return member.answer is not None and not member.is_excluded
+
+
+def _find_longest(members: list[GroupMember]) -> GroupMember:
+    return max(members, key=_find_log)
+
+
+def _find_log(member: GroupMember) -> Position:
+    return member.answer.received if member.answer else EMPTY_LOG
+
+
+def _describe_member(member: GroupMember) -> str:
+    words = [member.endpoint]
+    if member.answer is None:
+        words.append('no answer')
+    else:
+        log = member.answer.received
+        words.append(f'{member.answer.role.name.lower()}')
+        words.append(f'{log.term}.{log.position}')
+    if member.is_leaving:
+        words.append('leaving')
+    if member.is_excluded:
+        words.append('excluded')
+    if member.is_gone:
+        words.append('gone')
+    return ' '.join(words)
--- a/poplarspoke/control/failover.py
+++ b/poplarspoke/control/failover.py
@@ -5,9 +5,8 @@
    its primary lease.
 2. Release: each registered host releases its primary lease. For a host that
    does not answer, the leader waits until its lease must have expired.
-3. Choice: the old primary is demoted if it answers. The endpoint with the
-   longest log becomes the candidate; after a switchover its log holds all that
-   the old primary has acknowledged.
+3. Choice: the old primary is demoted if it answers, and the endpoints are
+   queried; ``candidates`` chooses one of them.
 4. Order: the leader writes the candidate to the row, again under the condition
    that the leader lease is unchanged, and orders the platform to promote it.
 5. Record: once the candidate reports that it is the primary, the leader writes
@@ -17,7 +16,7 @@
 import functools
 from typing import Any
 
-from poplarspoke.control import records, revisions
+from poplarspoke.control import candidates, records, revisions
 from poplarspoke.control.state import (
     LEASE_MARGIN_S,
     PRIMARY_LEASE_S,
@@ -35,7 +34,6 @@
     Step,
 )
 from poplarspoke.control.tables import RELAY
-from poplarspoke.generated.common import Position
 from poplarspoke.generated.control import (
     EndpointState,
     OrderPromotion,
@@ -48,15 +46,11 @@
     RequestRelease,
 )
 from poplarspoke.generated.relay import LeaseRevoked, LogDecision
-from poplarspoke.generated.rules import EndpointRole
+from poplarspoke.generated.rules import EndpointEntry, EndpointRole
 from poplarspoke.tasks import Outgoing, ToHost, ToStore, ToTask
 
 # Datagrams may be lost; a round trip between zones takes 3 ms.
 QUERY_INTERVAL_S = 0.15
-# Endpoints that do not answer within this time cannot become the candidate.
-CHOICE_TIMEOUT_S = 0.5
-# A switchover waits this long for a replica to receive the whole log.
-CATCH_UP_TIMEOUT_S = 2.5
 # An order is sent only within this time after its write was sent.
 MAX_ORDER_DELAY_S = 1.0
 # An order is withdrawn this long after its write was sent, so that a new leader
@@ -93,6 +87,7 @@
         claim_version=0,
         released=set(),
         states={},
+        awaited='',
         candidate=known.record.candidate,
         excluded=set(),
         demote_term=0,
@@ -152,7 +147,7 @@
     request = RequestRelease(own, failover['service'], failover['number'])
     outgoing: list[Any] = [ToHost(host, request) for host in sorted(missing)]
     if failover['reason'] not in PLANNED:
-        outgoing.extend(_query(state, failover, failover['old'], 0))
+        outgoing.extend(_query(state, failover, failover['old'], now_s))
     return outgoing
 
 
@@ -163,18 +158,18 @@
     failover: Failover,
     now_s: float,
 ) -> list[Any]:
-    waited_s = now_s - step.since_s
-    chosen = _choose_candidate(state, failover, waited_s)
-    if chosen and now_s >= state['first_order_s']:
-        failover['candidate'] = chosen
-        _enter_step(failover, NominatingCandidate(now_s))
-        return [_write_row(state, failover, PrimaryPhase.CHANGING)]
-    if now_s < step.next_s:
-        return []
+    situation = _describe_situation(state, failover, now_s - step.since_s)
+    choice = candidates.choose(situation)
+    if now_s >= state['first_order_s']:
+        outgoing = _handle_choice(choice, situation, state, failover, now_s)
+    else:
+        outgoing = []
+    if failover['step'] is not step or now_s < step.next_s:
+        return outgoing
     _enter_step(
         failover, SelectingCandidate(step.since_s, now_s + QUERY_INTERVAL_S)
     )
-    return _query_all(state, failover)
+    return [*outgoing, *_query_all(state, failover, now_s)]
 
 
 @advance.register
@@ -209,7 +204,66 @@
     _enter_step(
         failover, ConfirmingPromotion(step.since_s, now_s + CONFIRM_INTERVAL_S)
     )
-    return _query(state, failover, failover['candidate'], 0)
+    return _query(state, failover, failover['candidate'], now_s)
+
+
+@functools.singledispatch
+def _handle_choice(
+    choice: Any,
+    situation: candidates.Situation,
+    state: ControlState,
+    failover: Failover,
+    now_s: float,
+) -> list[Any]:
+    """Carries out the choice of a candidate."""
+    raise TypeError(f'{type(choice).__name__} is not a choice')
+
+
+@_handle_choice.register
+def _(
+    choice: candidates.Chosen,
+    situation: candidates.Situation,
+    state: ControlState,
+    failover: Failover,
+    now_s: float,
+) -> list[Any]:
+    failover['candidate'] = choice.endpoint
+    failover['awaited'] = ''
+    _enter_step(failover, NominatingCandidate(now_s))
+    line = LogDecision(
+        event='candidate chosen',
+        database=failover['service'],
+        endpoint=choice.endpoint,
+        outcome=choice.reason,
+        reason=candidates.describe(situation),
+        age_s=situation.waited_s,
+    )
+    return [line, _write_row(state, failover, PrimaryPhase.CHANGING)]
+
+
+@_handle_choice.register
+def _(
+    choice: candidates.Undecided,
+    situation: candidates.Situation,
+    state: ControlState,
+    failover: Failover,
+    now_s: float,
+) -> list[Any]:
+    """Logs what is waited for, once it takes longer than usual."""
+    if situation.waited_s < candidates.ANSWER_TIMEOUT_S:
+        return []
+    if failover['awaited'] == choice.reason:
+        return []
+    failover['awaited'] = choice.reason
+    line = LogDecision(
+        event='candidate awaited',
+        database=failover['service'],
+        endpoint=failover['old'],
+        outcome=choice.reason,
+        reason=candidates.describe(situation),
+        age_s=situation.waited_s,
+    )
+    return [line]
 
 
 def _find_lease_end(
@@ -250,21 +304,37 @@
     failover = state['changes'].get(message.service)
     if failover is None or not message.answered:
         return []
-    failover['states'][message.endpoint] = message
     step = failover['step']
     if isinstance(step, ReleasingLeases):
         return _keep_old_primary(state, failover, message, now_s)
+    _record_answer(step, failover, message)
     if not isinstance(step, ConfirmingPromotion):
         return advance(step, state, failover, now_s)
-    if message.endpoint != failover['candidate'] or not _is_newer_primary(
-        failover, message
-    ):
+    if message.endpoint != failover['candidate']:
+        return []
+    if not candidates.is_newer_primary(message, failover['term']):
         return []
     failover['term'] = message.term
     _enter_step(failover, RecordingPrimary())
     return [_write_row(state, failover, PrimaryPhase.STABLE)]
 
 
+@functools.singledispatch
+def _record_answer(
+    step: Any, failover: Failover, message: EndpointState
+) -> None:
+    """Records the answer of an endpoint, depending on the step."""
+
+
+@_record_answer.register
+def _(
+    step: SelectingCandidate, failover: Failover, message: EndpointState
+) -> None:
+    # Commits may have been acknowledged after an earlier query was answered.
+    if message.asked_s >= step.since_s:
+        failover['states'][message.endpoint] = message
+
+
 def _keep_old_primary(
     state: ControlState,
     failover: Failover,
@@ -436,7 +506,9 @@
     )
 
 
-def _query_all(state: ControlState, failover: Failover) -> list[Any]:
+def _query_all(
+    state: ControlState, failover: Failover, now_s: float
+) -> list[Any]:
     outgoing: list[Any] = []
     for name, entry in state['endpoints'].items():
         if entry.service != failover['service'] or name in failover['excluded']:
@@ -448,7 +520,9 @@
             terms = [known.term for known in failover['states'].values()]
             demote_term = max(terms, default=0) + 1 if terms else 0
             failover['demote_term'] = demote_term
-        outgoing.extend(_query(state, failover, name, demote_term))
+        outgoing.extend(
+            _query(state, failover, name, now_s, demote_term=demote_term)
+        )
     return outgoing
 
 
@@ -456,79 +530,61 @@
     state: ControlState,
     failover: Failover,
     endpoint: str,
-    demote_term: int,
+    now_s: float,
+    *,
+    demote_term: int = 0,
 ) -> list[Outgoing]:
     entry = state['endpoints'].get(endpoint)
     if entry is None:
         return []
     query = QueryEndpoint(
-        failover['service'], endpoint, entry.address, demote_term
+        failover['service'], endpoint, entry.address, demote_term, now_s
     )
     return [ToTask('endpoints', query)]
 
 
-def _choose_candidate(
+def _describe_situation(
     state: ControlState, failover: Failover, waited_s: float
-) -> str:
-    """Returns the endpoint to promote; empty while it is too early."""
-    best = ''
-    best_log = Position()
-    for name in _list_candidates(state, failover):
-        known = failover['states'][name]
-        if _is_newer_primary(failover, known):
-            return name
-        if not best or known.received > best_log:
-            best = name
-            best_log = known.received
-    if not best:
-        return ''
-    old = failover['states'].get(failover['old'])
-    if (
-        old is not None
-        and failover['demote_term']
-        and waited_s < CATCH_UP_TIMEOUT_S
-    ):
-        return best if best_log >= old.received else ''
-    if waited_s < CHOICE_TIMEOUT_S and not _may_choose_early(state, failover):
-        return ''
-    return best
-
-
-def _is_newer_primary(failover: Failover, known: EndpointState) -> bool:
-    """Returns whether an endpoint is primary in a newer term than the old one.
-
-    A superseded primary that could not be demoted still reports that role.
-    """
-    if known.role is not EndpointRole.PRIMARY:
-        return False
-    return known.term > failover['term']
-
-
-def _list_candidates(state: ControlState, failover: Failover) -> list[str]:
-    names: list[str] = []
-    for name in failover['states'].keys() - failover['excluded']:
-        entry = state['endpoints'].get(name)
-        if entry is None or name == failover['old'] or entry.draining:
-            continue
-        if entry.zone not in state['evacuated']:
-            names.append(name)
-    return sorted(names)
+) -> candidates.Situation:
+    service = failover['service']
+    members = {
+        name: _describe_member(state, failover, entry)
+        for name, entry in state['endpoints'].items()
+        if entry.service == service
+    }
+    lost = {
+        name: candidates.GroupMember(name, is_gone=True)
+        for name, gone in state['lost'].items()
+        if gone.entry.service == service
+    }
+    known = {**lost, **members}
+    old = failover['old']
+    return candidates.Situation(
+        old=known.pop(old, candidates.GroupMember(old, is_gone=True)),
+        others=tuple(known[name] for name in sorted(known)),
+        term=failover['term'],
+        sync_replicas=_find_sync_replicas(state, service),
+        is_planned=failover['reason'] in PLANNED,
+        waited_s=waited_s,
+    )
+
 
+def _describe_member(
+    state: ControlState, failover: Failover, entry: EndpointEntry
+) -> candidates.GroupMember:
+    return candidates.GroupMember(
+        endpoint=entry.endpoint,
+        answer=failover['states'].get(entry.endpoint),
+        is_leaving=entry.draining or entry.zone in state['evacuated'],
+        is_excluded=entry.endpoint in failover['excluded'],
+    )
 
-def _may_choose_early(state: ControlState, failover: Failover) -> bool:
-    """Returns whether the choice need not wait for its time limit.
 
-    A switchover waits, since the old primary may still answer and then be
-    demoted; otherwise all other endpoints have to have answered.
-    """
-    if failover['reason'] in PLANNED:
-        return False
-    for name, entry in state['endpoints'].items():
-        if entry.service != failover['service'] or name == failover['old']:
-            continue
-        if name not in failover['states'] and name not in failover['excluded']:
-            return False
-    return True
+def _find_sync_replicas(state: ControlState, service: str) -> int:
+    for rule in state['ruleset'].services:
+        if rule.name == service:
+            return rule.sync_replicas
+    return 0
 
 
 def _restart_choice(
--- a/poplarspoke/control/metrics.py
+++ b/poplarspoke/control/metrics.py
@@ -33,6 +33,11 @@
             'Records that a restored store lacks and this host knows.',
             registry=registry,
         )
+        self._awaited = Gauge(
+            'poplarspoke_control_awaited_candidates',
+            'Failovers of this host that wait for a member with the log.',
+            registry=registry,
+        )
         self._configuration = Gauge(
             'poplarspoke_control_configuration_version',
             'Version of the configuration in force.',
@@ -47,5 +52,11 @@
             self._version.labels(name).set(version)
         era = revisions.find_era(state['tables'][RECORDS]['version'])
         self._era.set(era)
+        awaited = [
+            ongoing
+            for ongoing in state['changes'].values()
+            if ongoing['awaited']
+        ]
+        self._awaited.set(len(awaited))
         self._unwritten.set(len(state['unwritten']))
         self._configuration.set(state['ruleset'].version)
--- a/poplarspoke/control/queries.py
+++ b/poplarspoke/control/queries.py
@@ -74,7 +74,9 @@
                 state = await self._exchange(query)
         except QUERY_ERRORS:
             # The control task decides about endpoints without an answer.
-            state = EndpointState(query.service, query.endpoint)
+            state = EndpointState(
+                query.service, query.endpoint, asked_s=query.asked_s
+            )
         self._post(state)
 
     async def _exchange(self, query: QueryEndpoint) -> EndpointState:
--- a/poplarspoke/control/state.py
+++ b/poplarspoke/control/state.py
@@ -93,6 +93,18 @@
     version: int
 
 
+class LostEndpoint(NamedTuple):
+    """An endpoint that has disappeared without draining.
+
+    Attributes:
+        entry: Its last entry.
+        since_s: When it was dropped from the usable endpoints.
+    """
+
+    entry: EndpointEntry
+    since_s: float
+
+
 class ClaimingFailover(NamedTuple):
     """Waits for the write that claims the failover."""
 
@@ -222,7 +234,9 @@
         claimed_s: When the store acknowledged the claim.
         claim_version: Revision of the claim in the store.
         released: Hosts that have released their lease on the old primary.
-        states: Newest answers of the endpoints.
+        states: Newest answers of the endpoints to queries of the choice.
+        awaited: What the choice of the candidate waits for; empty if it does
+            not wait.
         candidate: Endpoint that is to become the primary; empty before.
         excluded: Endpoints that could not be promoted.
         demote_term: Term that the old primary is demoted with; 0 before.
@@ -239,6 +253,7 @@
     claim_version: int
     released: set[str]
     states: dict[str, EndpointState]
+    awaited: str
     candidate: str
     excluded: set[str]
     demote_term: int
@@ -283,6 +298,7 @@
         changing_since_s: When the row of a primary was first seen in a
             failover; no host has renewed its lease since then.
         absent_since_s: When an endpoint's row was first missing.
+        lost: Endpoints that have disappeared without draining, by name.
         silent: Unresponsive endpoints, with the time of the latest report of
             this host's relay.
         changes: Failovers that this host carries out, by service.
@@ -362,6 +378,7 @@
     released: dict[str, int]
     changing_since_s: dict[str, float]
     absent_since_s: dict[str, float]
+    lost: dict[str, LostEndpoint]
     silent: dict[str, float]
     reports: dict[str, Report]
     changes: dict[str, Failover]
@@ -433,6 +450,7 @@
         released={},
         changing_since_s={},
         absent_since_s={},
+        lost={},
         silent={},
         reports={},
         changes={},
--- a/poplarspoke/control/tables.py
+++ b/poplarspoke/control/tables.py
@@ -22,6 +22,7 @@
     RULES,
     RULES_KEY,
     ControlState,
+    LostEndpoint,
     Table,
     VersionedLeader,
     VersionedPrimary,
@@ -56,6 +57,9 @@
 # The operators write again what a restored store lacks as soon as it is back. An
 # evacuation that it lacks is kept until then, and dropped if it stays missing.
 HELD_ROW_TTL_S = 2.5
+# A service that takes writes has acknowledged some within this time, so that the
+# other replicas have received what a lost endpoint has.
+LOST_TTL_S = 60.0
 RELAY = 'relay'
 
 
@@ -189,12 +193,28 @@
         if now_s - since_s < ABSENT_TTL_S:
             entries.append(state['endpoints'][name])
             continue
-        state['endpoints'].pop(name)
+        entry = state['endpoints'].pop(name)
         state['absent_since_s'].pop(name)
+        if not entry.draining:
+            state['lost'][name] = LostEndpoint(entry, now_s)
+    _forget_lost(state, now_s)
     known = EndpointsUpdated(tuple(entries), state['evacuated'])
     return [ToTask(RELAY, known)]
 
 
+def _forget_lost(state: ControlState, now_s: float) -> None:
+    """Forgets lost endpoints whose log is not needed any more."""
+    addresses = {
+        (entry.service, entry.address) for entry in state['endpoints'].values()
+    }
+    for name, (entry, since_s) in list(state['lost'].items()):
+        # A new endpoint at the address has received the log of the lost one.
+        is_replaced = (entry.service, entry.address) in addresses
+        is_old = now_s - since_s >= LOST_TTL_S
+        if is_replaced or (is_old and entry.service not in state['changes']):
+            state['lost'].pop(name)
+
+
 def create_view(
     state: ControlState,
     request: ShowView,
@@ -321,6 +341,7 @@
     if entry is None:
         return [_log_unreadable(ENDPOINTS, row)]
     state['endpoints'][row.key] = entry
+    state['lost'].pop(row.key, None)
     return []
 
 
--- a/poplarspoke/platform/rows.py
+++ b/poplarspoke/platform/rows.py
@@ -105,6 +105,7 @@
     return ServiceRule(
         name=_parse_text(fields['name']),
         max_connections=_parse_count(fields['maxConns'], MAX_UINT32),
+        sync_replicas=_parse_count(fields.get('syncReplicas', 0), MAX_UINT32),
     )
 
 
--- a/poplarspoke/platform/statements.py
+++ b/poplarspoke/platform/statements.py
@@ -163,6 +163,7 @@
         # The second field is the newest term that the endpoint knows.
         term=int(fields[1]),
         received=received,
+        asked_s=query.asked_s,
     )
 
 
--- a/poplarspoke/schema/control.capnp
+++ b/poplarspoke/schema/control.capnp
@@ -124,6 +124,7 @@
   endpoint @1 :Text;
   address @2 :Text;
   demoteTerm @3 :UInt64;  # 0 for a query only.
+  askedS @4 :Float64;  # Boot clock of the sender; the answer repeats it.
 }
 
 struct EndpointState {
@@ -134,6 +135,7 @@
   role @3 :Rules.EndpointRole;
   term @4 :UInt64;
   received @5 :Common.Position;
+  askedS @6 :Float64;  # Of the query that it answers.
 }
 
 struct OrderPromotion {
--- a/poplarspoke/schema/rules.capnp
+++ b/poplarspoke/schema/rules.capnp
@@ -29,6 +29,7 @@
   # Limits of one group of endpoints.
   name @0 :Text;
   maxConnections @1 :UInt32;  # Of all hosts together to one endpoint.
+  syncReplicas @2 :UInt32;  # Replicas that have received an acknowledged commit.
 }
 
 struct WorkspaceRule {
--- a/tests/control_simulation.py
+++ b/tests/control_simulation.py
@@ -35,6 +35,7 @@
     EndpointRole,
     HostSettings,
     Ruleset,
+    ServiceRule,
 )
 from poplarspoke.tasks import ToHost, ToStore, ToTask
 
@@ -74,6 +75,8 @@
         unreachable: Hosts that neither send nor receive datagrams.
         partitioned: Zones that exchange no datagrams with other zones.
         dead: Endpoints that do not answer.
+        sync_replicas: Replicas that have received an acknowledged commit, from
+            the next configuration on.
         unwatched: Pairs of a host and a table that it does not watch.
         hosts: State of each running host.
         sent: All messages that the decisions of each host have returned.
@@ -99,6 +102,7 @@
         self.members: dict[str, EndpointState] = {}
         self.entries: dict[str, EndpointEntry] = {}
         self.dead: set[str] = set()
+        self.sync_replicas = 0
         self.partitioned: set[str] = set()
         self.unwatched: set[tuple[str, str]] = set()
         self._zones = zones
@@ -131,7 +135,7 @@
         )
         self.hosts[name] = create_state(
             settings,
-            Decoders(_decode_rules, self._decode_endpoint),
+            Decoders(self._decode_rules, self._decode_endpoint),
             rng=random.Random(name),
             incarnation=incarnation,
         )
@@ -318,7 +322,7 @@
         elif query.demote_term > member.term:
             member = member._replace(role=EndpointRole.REPLICA)
             self.members[query.endpoint] = member
-        self.post(name, member)
+        self.post(name, member._replace(asked_s=query.asked_s))
 
     def _promote_endpoint(self, name: str, order: OrderPromotion) -> None:
         self.orders.append(order)
@@ -368,6 +372,10 @@
             written = RecordsWritten(written.correlation)
         self.post(name, written)
 
+    def _decode_rules(self, content: str) -> Ruleset | None:
+        service = ServiceRule(SERVICE, 16, self.sync_replicas)
+        return Ruleset(version=int(content), services=(service,))
+
     def _decode_endpoint(self, key: str, content: str) -> EndpointEntry | None:
         return self.entries.get(key)
 
@@ -384,7 +392,3 @@
 def _find_present(row: TableRow) -> int:
     """Returns the version that a condition on a row must name."""
     return 0 if row.removed else revisions.find_version(row.version)
-
-
-def _decode_rules(content: str) -> Ruleset | None:
-    return Ruleset(version=int(content))
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -17,10 +17,15 @@
     TableRows,
     WriteRecords,
 )
-from poplarspoke.generated.relay import EndpointsUpdated, EndpointUnresponsive
+from poplarspoke.generated.relay import (
+    EndpointsUpdated,
+    EndpointUnresponsive,
+    LogDecision,
+)
 from poplarspoke.generated.rules import EndpointRole
 from tests.control_simulation import (
     SERVICE,
+    TICK_S,
     ControlSimulation,
     encode_content,
     find_messages,
@@ -132,6 +137,58 @@
     assert simulation.read_record(PRIMARY_KEY)['endpoint'] == 'm3'
 
 
+# Guards against a promotion of the only replica that answers, while the one that
+# has received the acknowledged commits is down or no longer registered.
+@pytest.mark.parametrize('down_s', [4.0, 15.0])
+def test_synchronous_replica_is_waited_for(
+    simulation: ControlSimulation, down_s: float
+) -> None:
+    """The replica comes back after the primary has crashed."""
+    simulation.sync_replicas = 1
+    simulation.configure(2)
+    simulation.run(1)
+    deaf = simulation.members['m3']._replace(received=Position(1, 2))
+    simulation.members['m3'] = deaf
+    simulation.dead.update(('m1', 'm2'))
+    entry = simulation.entries['m2']
+    for _ in range(int(down_s / TICK_S)):
+        for host in simulation.hosts:
+            simulation.post(host, EndpointUnresponsive('m1'))
+        simulation.run(TICK_S)
+        if down_s > 5:
+            simulation.entries.pop('m2', None)
+    assert not simulation.orders
+    assert any(
+        line.event == 'candidate awaited' and 'm2' in line.outcome
+        for host in simulation.hosts
+        for line in find_messages(simulation.sent[host], LogDecision)
+    )
+    simulation.dead.remove('m2')
+    simulation.entries['m2'] = entry
+    simulation.version += 1
+    simulation.run(2)
+    assert [order.endpoint for order in simulation.orders] == ['m2']
+
+
+# Guards against an outage that the operators cannot end: they may decide that the
+# commits of a lost replica are given up.
+def test_synchronous_replica_is_not_waited_for_after_a_change(
+    simulation: ControlSimulation,
+) -> None:
+    """The operators turn synchronous replication off during the failover."""
+    simulation.sync_replicas = 1
+    simulation.configure(2)
+    simulation.run(1)
+    simulation.dead.update(('m1', 'm2'))
+    simulation.set_entry('m1', draining=True)
+    simulation.run(5)
+    assert not simulation.orders
+    simulation.sync_replicas = 0
+    simulation.configure(3)
+    simulation.run(2)
+    assert [order.endpoint for order in simulation.orders] == ['m3']
+
+
 def test_failover_waits_for_the_lease_of_an_unresponsive_host(
     simulation: ControlSimulation,
 ) -> None:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -232,7 +232,10 @@
     config = {
         'version': 7,
         'routes': [route],
-        'services': [{'name': 'group', 'maxConns': 16}],
+        'services': [
+            {'name': 'group', 'maxConns': 16, 'syncReplicas': 1},
+            {'name': 'other', 'maxConns': 16},
+        ],
         'limits': {'txIdleMs': 3000},
         'tenants': [tenant],
     }
@@ -242,6 +245,7 @@
     assert rules.routes[0].kind is RouteKind.READ_OWN
     assert rules.routes[0].staleness_s == pytest.approx(2.5)
     assert rules.routes[0].open
+    assert [service.sync_replicas for service in rules.services] == [1, 0]
     assert rules.workspaces[0].keys == ('k',)
 
 
