Take no primary lease on records from before the process started

The store turned two hosts away. Both released the primary, another member was promoted, and one of them restarted. It took the records from the other, which still had the row of the old primary, confirmed before the failover.

Cause: what a host has released is kept in the memory of one process. The leader counts the release by the name of the host, so nobody waited for the next process, which knew nothing of it. That a peer's view leaves out releases is not the cause: the peer may release after it was read.

A host now takes leases only on records that were current at some time since its process started. A failover that its former process answered was claimed before that, so such records show it; for a later one the leader asks this process. This covers answers to queries of a former process too.

Cost: while the store refuses a restarted host, it serves primary routes only after a peer that the store answers has confirmed its records.

--- a/poplarspoke/control/state.py
+++ b/poplarspoke/control/state.py
@@ -291,6 +291,7 @@
 
     Attributes:
         incarnation: Start of this process, ms since 1970.
+        started_s: Start of this process.
         evacuated: Zones that the operators are taking out of service.
         duty: Row of the leader lease.
         released: Number of the failover up to which this host has released
@@ -366,6 +367,7 @@
 
     settings: HostSettings
     incarnation: int
+    started_s: float
     rng: random.Random
     decoders: Decoders
     tables: dict[str, Table]
@@ -433,11 +435,13 @@
     *,
     rng: random.Random,
     incarnation: int,
+    started_s: float,
 ) -> ControlState:
     """Returns the state of a host that has read no table yet."""
     return ControlState(
         settings=settings,
         incarnation=incarnation,
+        started_s=started_s,
         rng=rng,
         decoders=decoders,
         tables={name: _create_table() for name in TABLES},
--- a/poplarspoke/control/tables.py
+++ b/poplarspoke/control/tables.py
@@ -148,11 +148,14 @@
         # Without its registration, a failover would not wait for this host.
         confirmed_s = state['former_confirmed_s']
     until_s = confirmed_s + PRIMARY_LEASE_S
-    own = state['hosts'].get(settings.name)
+    # The former process of this host may have released a primary that the records
+    # of a peer still name. Records that were current since this process started
+    # show each failover whose release it may have answered.
+    is_current = confirmed_s >= state['started_s']
     leases = tuple(
         PrimaryLease(service, known.record.endpoint, until_s)
         for service, known in state['primaries'].items()
-        if own and not own.retired and _may_lease(state, service, known.record)
+        if is_current and _may_lease(state, service, known.record)
     )
     expected = _list_expected(state)
     return ToTask(RELAY, LeasesRenewed(leases, expected))
@@ -161,6 +164,9 @@
 def _may_lease(
     state: ControlState, service: str, record: PrimaryRecord
 ) -> bool:
+    own = state['hosts'].get(state['settings'].name)
+    if own is None or own.retired:
+        return False
     if record.phase is not PrimaryPhase.STABLE:
         return False
     if record.change < state['released'].get(service, 0):
--- a/poplarspoke/session_host.py
+++ b/poplarspoke/session_host.py
@@ -103,6 +103,7 @@
                 dependencies.decoders,
                 rng=dependencies.rng,
                 incarnation=incarnation,
+                started_s=dependencies.now_s(),
             ),
             tick_s=CONTROL_TICK_S,
         )
--- a/tests/control_simulation.py
+++ b/tests/control_simulation.py
@@ -123,8 +123,20 @@
             self.start(f'h{number}')
         self.run(3)
 
-    def start(self, name: str, incarnation: int = 1) -> None:
-        """Starts a host, or restarts it with a new state."""
+    def start(
+        self,
+        name: str,
+        incarnation: int = 1,
+        *,
+        seeds: tuple[str, ...] = (),
+    ) -> None:
+        """Starts a host, or restarts it with a new state.
+
+        Args:
+            name: The host.
+            incarnation: Start of its process.
+            seeds: Hosts whose views it requests until it knows the others.
+        """
         settings = HostSettings(
             name=name,
             zone=self.find_zone(name),
@@ -132,12 +144,14 @@
             peer_port=1,
             control_address=f'{name}:1',
             grace_s=6,
+            seeds=tuple(f'{seed}:1' for seed in seeds),
         )
         self.hosts[name] = create_state(
             settings,
             Decoders(self._decode_rules, self._decode_endpoint),
             rng=random.Random(name),
             incarnation=incarnation,
+            started_s=self.now_s,
         )
         self.sent[name] = []
         self.unwatched.update((name, table) for table in TABLES)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -346,6 +346,26 @@
     assert 0 < len(claims) <= 5
 
 
+# Guards against reads at a superseded primary: the leader counts a host that has
+# released the primary, and its next process takes a lease from a peer's old view.
+def test_restarted_host_takes_no_lease_that_its_former_process_released(
+    simulation: ControlSimulation,
+) -> None:
+    """The store refuses the host and its peer, but not the others."""
+    simulation = ControlSimulation(hosts=5)
+    leader = simulation.read_record('duty')['holder']
+    restarted, peer = [host for host in simulation.hosts if host != leader][:2]
+    simulation.store_unreachable.update((restarted, peer))
+    simulation.set_entry('m1', draining=True)
+    while not simulation.orders:
+        simulation.run(TICK_S)
+    simulation.start(restarted, 2, seeds=(peer,))
+    for _ in range(100):
+        simulation.run(TICK_S)
+        assert simulation.find_leased_primary(restarted) in {'', 'm2'}
+    assert simulation.find_leased_primary(restarted) == 'm2'
+
+
 def test_fencing_tokens_increase(simulation: ControlSimulation) -> None:
     """The platform must never receive a lower token than before."""
     simulation.set_entry('m1', draining=True)
