Check the key of a caller with each statement of a transaction

Cause: only the start of an operation looked the key up. A transaction of any length goes on without one, here or at a gateway, which does not know keys.

The host that the caller reached now checks with each statement that the key still belongs to the workspace of the transaction, and with each tick that open transactions may go on. Otherwise the connection to the member, or the channel at the gateway, is closed, which rolls the transaction back, and the caller gets NOAUTH, also to its COMMIT. Open routes need no key. relay/transactions.py holds what ends an open transaction.

--- a/poplarspoke/relay/maintenance.py
+++ b/poplarspoke/relay/maintenance.py
@@ -2,12 +2,9 @@
 
 from typing import Any
 
-from poplarspoke.generated.gateways import CloseChannel
 from poplarspoke.generated.relay import EndpointUnresponsive, SessionPhase
-from poplarspoke.relay import answers, outcomes, pool
-from poplarspoke.relay.messages import ToGateway
+from poplarspoke.relay import answers, outcomes, pool, transactions
 from poplarspoke.relay.state import (
-    NO_CONNECTION,
     Connection,
     Endpoint,
     RelayState,
@@ -92,31 +89,25 @@
         if session['session'] in state['operations'] or session['backlog']:
             continue
         if session['phase'] is not SessionPhase.IDLE:
-            outgoing.extend(_end_idle_transaction(state, session, now_s))
+            outgoing.extend(_check_transaction(state, session, now_s))
         elif _is_close_due(state, session, now_s):
             outgoing.extend(outcomes.end_session(state, session))
     return outgoing
 
 
-def _end_idle_transaction(
+def _check_transaction(
     state: RelayState,
     session: Session,
     now_s: float,
 ) -> list[Any]:
-    number = session['connection']
-    gateway = session['gateway']
-    idle_s = now_s - session['used_s']
-    if idle_s <= _compute_idle_limit(state, session):
+    """Rolls back a transaction that is idle or may not go on."""
+    if transactions.is_detached(session):
         return []
-    session['connection'] = NO_CONNECTION
-    session['gateway'] = ''
-    session['phase'] = SessionPhase.FAILED
-    outgoing: list[Any] = []
-    if number:
-        outgoing.append(pool.close(state, number))
-    if gateway:
-        outgoing.append(ToGateway(gateway, CloseChannel(session['session'])))
-    return outgoing
+    idle_s = now_s - session['used_s']
+    is_idle = idle_s > _compute_idle_limit(state, session)
+    if is_idle or transactions.is_key_withdrawn(state, session):
+        return transactions.roll_back(state, session)
+    return []
 
 
 def _record_missing_answer(
--- a/poplarspoke/relay/operations.py
+++ b/poplarspoke/relay/operations.py
@@ -24,6 +24,7 @@
     pool,
     quotas,
     routing,
+    transactions,
 )
 from poplarspoke.relay.messages import Forward
 from poplarspoke.relay.state import (
@@ -96,8 +97,15 @@
 
     Writes, and commits of transactions that wrote, need a valid primary lease;
     without one the transaction is rolled back. A gateway that holds the
-    transaction judges its own lease.
+    transaction judges its own lease. The key must still be valid.
     """
+    if transactions.is_key_withdrawn(state, session):
+        return [
+            *transactions.roll_back(state, session),
+            *transactions.answer_rolled_back(
+                state, session, statement, 'rolled back'
+            ),
+        ]
     if session['gateway']:
         operation = _create(state, session, statement, now_s)
         writes = outcomes.is_write(statement, session)
--- a/poplarspoke/relay/outcomes.py
+++ b/poplarspoke/relay/outcomes.py
@@ -140,6 +140,8 @@
     session: Session,
     statement: Any,
     reason: str,
+    *,
+    code: AnswerCode = AnswerCode.ABORTED,
 ) -> list[Any]:
     """Answers a statement whose transaction has been rolled back.
 
@@ -149,7 +151,6 @@
     state['operations'].pop(session['session'], None)
     ends = isinstance(statement, CommitTransaction | RollBackTransaction)
     phase = SessionPhase.IDLE if ends else SessionPhase.FAILED
-    code = AnswerCode.ABORTED
     if isinstance(statement, RollBackTransaction):
         return answer(state, session, AnswerCode.DONE, '-', phase)
     line = LogDecision(
--- a/poplarspoke/relay/statements.py
+++ b/poplarspoke/relay/statements.py
@@ -17,8 +17,8 @@
     UnknownStatement,
     WriteItem,
 )
-from poplarspoke.relay import operations, outcomes, pool
-from poplarspoke.relay.state import NO_CONNECTION, RelayState, Session
+from poplarspoke.relay import operations, outcomes, pool, transactions
+from poplarspoke.relay.state import RelayState, Session
 
 
 @functools.singledispatch
@@ -91,9 +91,9 @@
 ) -> list[Any]:
     if session['phase'] is SessionPhase.IDLE:
         return outcomes.refuse(state, session, statement, AnswerCode.MALFORMED)
-    if _is_detached(session):
+    if transactions.is_detached(session):
         # The endpoint has rolled the transaction back already.
-        return outcomes.fail_transaction(
+        return transactions.answer_rolled_back(
             state, session, statement, 'the transaction was rolled back'
         )
     return operations.continue_transaction(state, session, statement, now_s)
@@ -157,11 +157,6 @@
     )
 
 
-def _is_detached(session: Session) -> bool:
-    """Returns whether nothing holds the open transaction of a session."""
-    return session['connection'] == NO_CONNECTION and not session['gateway']
-
-
 def _run_item(
     statement: Any,
     state: RelayState,
@@ -169,8 +164,8 @@
     now_s: float,
 ) -> list[Any]:
     if session['phase'] is SessionPhase.FAILED:
-        if _is_detached(session):
-            return outcomes.fail_transaction(
+        if transactions.is_detached(session):
+            return transactions.answer_rolled_back(
                 state, session, statement, 'the transaction was rolled back'
             )
         return outcomes.refuse(state, session, statement, AnswerCode.MALFORMED)
