End transactions at endpoints of an evacuated zone

RULES.md limits DRAIN to single statements and the first one of a transaction; EVAC has no such words. So an open transaction may end at a member that drains, but not at one of an evacuated zone.

Each statement of a transaction, and each tick, now check that its endpoint may still be used, with the limit that holds for new work at a leaving primary. After it the transaction is rolled back and its caller gets ABORTED.

test_transaction_in_an_evacuated_zone_ends failed before in both cases: the statement was sent. test_transaction_at_a_draining_endpoint_continues guards against ending more than that.

--- a/poplarspoke/relay/decisions.py
+++ b/poplarspoke/relay/decisions.py
@@ -233,6 +233,7 @@
             endpoint = create_endpoint(entry)
             state['endpoints'][name] = endpoint
         evacuated = entry.zone in message.evacuated
+        endpoint['evacuated'] = evacuated
         endpoint['leave_within_s'] = state['settings'].drain_s
         if evacuated:
             endpoint['leave_within_s'] = state['settings'].evacuate_s
--- a/poplarspoke/relay/maintenance.py
+++ b/poplarspoke/relay/maintenance.py
@@ -104,10 +104,11 @@
     if transactions.is_detached(session):
         return []
     idle_s = now_s - session['used_s']
-    is_idle = idle_s > _compute_idle_limit(state, session)
-    if is_idle or transactions.is_key_withdrawn(state, session):
+    if idle_s > _compute_idle_limit(state, session):
         return transactions.roll_back(state, session)
-    return []
+    if transactions.may_continue(state, session, now_s):
+        return []
+    return transactions.roll_back(state, session)
 
 
 def _record_missing_answer(
--- a/poplarspoke/relay/operations.py
+++ b/poplarspoke/relay/operations.py
@@ -97,13 +97,14 @@
 
     Writes, and commits of transactions that wrote, need a valid primary lease;
     without one the transaction is rolled back. A gateway that holds the
-    transaction judges its own lease. The key must still be valid.
+    transaction judges its own lease. The key must still be valid, and the zone
+    of the endpoint not be evacuated.
     """
-    if transactions.is_key_withdrawn(state, session):
+    if not transactions.may_continue(state, session, now_s):
         return [
             *transactions.roll_back(state, session),
             *transactions.answer_rolled_back(
-                state, session, statement, 'rolled back'
+                state, session, statement, 'the zone is evacuated'
             ),
         ]
     if session['gateway']:
--- a/poplarspoke/relay/routing.py
+++ b/poplarspoke/relay/routing.py
@@ -48,11 +48,14 @@
     endpoint = state['endpoints'].get(lease.endpoint)
     if endpoint is None:
         return ''
+    return '' if must_be_unused(endpoint, now_s) else lease.endpoint
+
+
+def must_be_unused(endpoint: Endpoint, now_s: float) -> bool:
+    """Returns whether a leaving endpoint gets no more new work."""
     leaving_s = endpoint['leaving_since_s']
     limit_s = endpoint['leave_within_s'] - LEAVE_MARGIN_S
-    if leaving_s and now_s - leaving_s > limit_s:
-        return ''
-    return lease.endpoint
+    return leaving_s > 0 and now_s - leaving_s > limit_s
 
 
 def find_needed_position(
--- a/poplarspoke/relay/state.py
+++ b/poplarspoke/relay/state.py
@@ -267,6 +267,7 @@
             0 if it is neither.
         leave_within_s: Time that the platform allows from ``leaving_since_s``
             until the endpoint must be unused.
+        evacuated: Whether its zone is being evacuated.
     """
 
     entry: EndpointEntry
@@ -283,6 +284,7 @@
     full_until_s: float
     leaving_since_s: float
     leave_within_s: float
+    evacuated: bool
 
 
 class RelayState(TypedDict):
@@ -472,4 +474,5 @@
         full_until_s=0,
         leaving_since_s=0,
         leave_within_s=0,
+        evacuated=False,
     )
--- a/poplarspoke/relay/transactions.py
+++ b/poplarspoke/relay/transactions.py
@@ -8,7 +8,7 @@
 
 from poplarspoke.generated.gateways import CloseChannel
 from poplarspoke.generated.relay import AnswerCode, SessionPhase
-from poplarspoke.relay import outcomes, pool
+from poplarspoke.relay import outcomes, pool, routing
 from poplarspoke.relay.messages import ToGateway
 from poplarspoke.relay.state import NO_CONNECTION, RelayState, Session
 
@@ -18,6 +18,13 @@
     return session['connection'] == NO_CONNECTION and not session['gateway']
 
 
+def may_continue(state: RelayState, session: Session, now_s: float) -> bool:
+    """Returns whether another statement of an open transaction may run."""
+    if is_key_withdrawn(state, session):
+        return False
+    return not is_evacuated(state, session, now_s)
+
+
 def is_key_withdrawn(state: RelayState, session: Session) -> bool:
     """Returns whether the key of an open transaction is no longer valid.
 
@@ -30,6 +37,20 @@
     return owner != session['workspace']
 
 
+def is_evacuated(state: RelayState, session: Session, now_s: float) -> bool:
+    """Returns whether an open transaction must leave its evacuated zone.
+
+    At an endpoint that only drains, open transactions may end.
+    """
+    connection = state['connections'].get(session['connection'])
+    if connection is None:
+        return False
+    endpoint = state['endpoints'].get(connection['endpoint'])
+    if endpoint is None or not endpoint['evacuated']:
+        return False
+    return routing.must_be_unused(endpoint, now_s)
+
+
 def roll_back(state: RelayState, session: Session) -> list[Any]:
     """Rolls back an open transaction by closing its connection."""
     number = session['connection']
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -1,5 +1,7 @@
 """Request path of statements through the relay."""
 
+from typing import Any
+
 import pytest
 
 from poplarspoke import session_host
@@ -513,6 +515,51 @@
     assert not find_messages(simulation.send_write(1), Forward)
 
 
+# Guards against reads and commits at an endpoint of an evacuated zone, long after
+# the evacuation must have ended.
+@pytest.mark.parametrize(
+    'statement',
+    [ReadItem(1, 'r', 'READ 1'), CommitTransaction(1, 'c')],
+)
+def test_transaction_in_an_evacuated_zone_ends(
+    simulation: RelaySimulation, statement: Any
+) -> None:
+    """A transaction that only reads needs no lease."""
+    simulation.start_session(1, 'primary')
+    begin = simulation.get_forward(
+        simulation.post(BeginTransaction(1, 'b', read_only=True))
+    )
+    simulation.reply(begin, phase=SessionPhase.OPEN)
+    simulation.set_endpoints(evacuated=('z1',))
+    for _ in range(3):
+        read = simulation.get_forward(simulation.send_read(1))
+        simulation.reply(read, phase=SessionPhase.OPEN)
+        simulation.advance(1.1)
+    simulation.grant_lease(PRIMARY)
+    simulation.advance(1)
+    outgoing = simulation.post(statement)
+    assert not find_messages(outgoing, Forward)
+    assert simulation.get_answer(outgoing).code is AnswerCode.ABORTED
+    assert CloseConnection(begin.connection) in simulation.sent
+
+
+# Guards against transactions that are cut off although their endpoint only drains.
+def test_transaction_at_a_draining_endpoint_continues(
+    simulation: RelaySimulation,
+) -> None:
+    """The endpoint serves until its open transactions have ended."""
+    simulation.start_session(1, 'primary')
+    begin = simulation.get_forward(
+        simulation.post(BeginTransaction(1, 'b', read_only=True))
+    )
+    simulation.reply(begin, phase=SessionPhase.OPEN)
+    simulation.set_endpoints(draining=(PRIMARY,))
+    for _ in range(3):
+        simulation.advance(2.5)
+        read = simulation.get_forward(simulation.send_read(1))
+        simulation.reply(read, phase=SessionPhase.OPEN)
+
+
 def test_rate_is_shared_between_hosts() -> None:
     """All hosts together must stay within the rate of a workspace."""
     simulation = RelaySimulation(rate=8, hosts=4)
