Skip entries of members without the fields that every member reports

An entry with missing fields names no member to use. It is now skipped and logged like other invalid ones; `born` may be missing, since not every deployment has it.

Entries of the stand-ins and fixtures have the fields of a member now.

Not changed: a complete entry of a member that does not exist, with the role of a primary, still counts.

--- a/poplarspoke/platform/rows.py
+++ b/poplarspoke/platform/rows.py
@@ -71,6 +71,10 @@
     """
     try:
         fields = json.loads(content)
+        # A member always reports these; without them, another writer has left
+        # the entry.
+        _parse_text(fields['version'])
+        _parse_number(fields['coldRemainingMs'])
         return EndpointEntry(
             endpoint=key,
             service=_parse_text(fields['service']),
@@ -80,7 +84,7 @@
             draining=DRAINING_BY_STATE[fields['state']],
             role=ROLES[fields['dbRole']],
             born_ms=_parse_count(fields.get('born', 0), MAX_UINT64),
-            sequence=_parse_count(fields.get('seq', 0), MAX_UINT64),
+            sequence=_parse_count(fields['seq'], MAX_UINT64),
         )
     except DECODE_ERRORS:
         return None
--- a/tests/session_soak.py
+++ b/tests/session_soak.py
@@ -199,9 +199,12 @@
             'service': 'group',
             'address': f'127.0.0.1:{self.proxies[name].port}',
             'zone': 'z1',
+            'version': 'v1',
             'slots': 2,
             'state': state,
+            'coldRemainingMs': 0,
             'dbRole': 'primary' if is_primary else 'replica',
+            'seq': 1,
         }
         self.store.put('servers', name, entry)
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -5,6 +5,7 @@
 
 import functools
 import json
+from contextlib import AsyncExitStack
 from typing import Any
 
 import anyio
@@ -31,8 +32,10 @@
     'service': 'group',
     'address': '127.0.0.1:8080',
     'zone': 'z1',
+    'version': 'v1',
     'slots': 2,
     'state': 'ready',
+    'coldRemainingMs': 0,
     'dbRole': 'replica',
     'seq': 4,
     'born': 1700000000000,
@@ -89,6 +92,49 @@
     assert rows.decode_endpoint('i-odd', encode_entry(name, field)) is None
 
 
+# Guards against an entry of another writer that counts as a member, and as a second
+# primary, so that the first primary of its service is never recorded.
+@pytest.mark.parametrize(
+    ('name', 'field'),
+    [
+        ('version', None),
+        ('version', 7),
+        ('coldRemainingMs', None),
+        ('coldRemainingMs', 'soon'),
+        ('coldRemainingMs', -1),
+        ('seq', None),
+        ('seq', True),
+    ],
+)
+def test_entry_with_missing_fields_is_invalid(name: str, field: Any) -> None:
+    """A member always reports these fields."""
+    entry = {**ENTRY, name: field}
+    if field is None:
+        entry.pop(name)
+    assert rows.decode_endpoint('i-odd', json.dumps(entry)) is None
+
+
+# Guards against a service that serves nothing from its first start on.
+def test_incomplete_entry_does_not_keep_a_service_without_a_primary() -> None:
+    """The entry names the service and claims to be its primary."""
+
+    async def run() -> None:
+        with anyio.fail_after(TEST_TIMEOUT_S):
+            async with AsyncExitStack() as stack:
+                site = Site(stack)
+                odd = {**ENTRY, 'dbRole': 'primary'}
+                for name in ('version', 'coldRemainingMs', 'seq', 'born'):
+                    odd.pop(name)
+                site.store.put('servers', 'i-odd', odd)
+                await site.start(1)
+                caller = await site.connect()
+                await caller.start('primary')
+                answer = await caller.query('WRITE 1 a')
+                assert answer[0].startswith('COMPLETE')
+
+    anyio.run(run)
+
+
 # Guards against a limit that never ends, and a version that nothing follows.
 @pytest.mark.parametrize(
     'changed',
--- a/tests/test_session_host.py
+++ b/tests/test_session_host.py
@@ -148,8 +148,10 @@
             'service': 'group',
             'address': address,
             'zone': 'z1',
+            'version': 'v1',
             'slots': 2,
             'state': state,
+            'coldRemainingMs': 0,
             'dbRole': 'primary' if is_primary else 'replica',
             'seq': 1,
         }
