Promote the old primary again only with a log and after its replicas

Found when reading the change of the choice: an old primary that starts again without its log answers as a replica with an empty one. If it answered before its replicas, it could have been chosen, and all commits lost. An empty log proves nothing, and the old primary is considered only after the time in which replicas catch up.

test_old_primary_without_its_log_is_not_promoted failed before without synchronous replicas: m1 was chosen.

--- a/poplarspoke/control/candidates.py
+++ b/poplarspoke/control/candidates.py
@@ -181,7 +181,8 @@
 ) -> Choice:
     """Chooses among the logs of superseded primaries, after some time."""
     old = situation.old
-    if _may_be_promoted(old) and not old.is_leaving:
+    is_late = situation.waited_s >= CATCH_UP_TIMEOUT_S
+    if is_late and _may_be_promoted(old) and not old.is_leaving:
         if _find_old_log(situation) is not None:
             return Chosen(old.endpoint, 'alone has a log of the newest term')
     if not candidates:
@@ -216,6 +217,8 @@
     answer = situation.old.answer
     if answer is None or answer.role is EndpointRole.PRIMARY:
         return None
+    if answer.received == EMPTY_LOG:
+        return None
     if not _is_current(situation, answer.received):
         return None
     longest = _find_longest_log(situation)
--- a/tests/test_candidates.py
+++ b/tests/test_candidates.py
@@ -133,6 +133,40 @@
     assert candidates.choose(situation) == Chosen('m2', 'has the longest log')
 
 
+# Guards against an old primary that has lost its log and answers first.
+@pytest.mark.parametrize('sync_replicas', [0, 1])
+@pytest.mark.parametrize('waited_s', [SOON_S, LATE_S])
+def test_old_primary_without_its_log_is_not_promoted(
+    sync_replicas: int, waited_s: float
+) -> None:
+    """Its replicas have not answered yet."""
+    situation = create_situation(
+        {},
+        old=answer('m1', Position()),
+        missing=('m2', 'm3'),
+        sync_replicas=sync_replicas,
+        waited_s=waited_s,
+    )
+    situation = situation._replace(term=0)
+    assert isinstance(candidates.choose(situation), Undecided)
+
+
+# Guards against an outage when only the old primary comes back.
+def test_old_primary_with_its_log_leads_again() -> None:
+    """Its replicas are down; it is not replaced because it leaves."""
+    situation = create_situation(
+        {},
+        old=answer('m1', Position(1, 9)),
+        missing=('m2', 'm3'),
+        sync_replicas=0,
+    )
+    assert candidates.choose(situation) == Chosen(
+        'm1', 'alone has a log of the newest term'
+    )
+    soon = situation._replace(waited_s=SOON_S)
+    assert isinstance(candidates.choose(soon), Undecided)
+
+
 class Commit(NamedTuple):
     """The primary commits; these of the others receive its log up to then."""
 
