Keep leadership while an order may still reach the platform

A leader that shuts down resigns unless it carries out a failover, and the next leader does not wait for orders of one that has resigned. A failover that was abandoned after its order had been sent was not counted, so the order could arrive after that of the next leader.

A leader now resigns only when none of its orders can still be delivered. Otherwise its lease is taken over as after a failure.

test_leader_with_an_order_on_its_way_does_not_resign failed before.

--- a/poplarspoke/control/decisions.py
+++ b/poplarspoke/control/decisions.py
@@ -281,7 +281,7 @@
 def _(message: ShutDown, state: ControlState, now_s: float) -> list[Any]:
     state['leaving'] = True
     state['ready'] = False
-    return [*leadership.resign(state), ToTask(tables.RELAY, message)]
+    return [*leadership.resign(state, now_s), ToTask(tables.RELAY, message)]
 
 
 @functools.singledispatch
--- a/poplarspoke/control/failover.py
+++ b/poplarspoke/control/failover.py
@@ -460,6 +460,7 @@
         state['duty'].record.token,
         step.sent_s + ORDER_LIFETIME_S,
     )
+    state['orders_until_s'] = max(state['orders_until_s'], order.expires_s)
     line = _log(failover, 'promotion ordered', now_s, failover['candidate'])
     return [line, ToStore(order)]
 
--- a/poplarspoke/control/leadership.py
+++ b/poplarspoke/control/leadership.py
@@ -257,10 +257,15 @@
     return [failover.log_abandoned(ongoing, now_s) for ongoing in abandoned]
 
 
-def resign(state: ControlState) -> list[Any]:
-    """Resigns, so that another host can claim leadership at once."""
+def resign(state: ControlState, now_s: float) -> list[Any]:
+    """Resigns, so that another host can claim leadership at once.
+
+    The next leader does not wait for orders of one that has resigned.
+    """
     if not is_leader(state) or state['changes']:
         return []
+    if now_s < state['orders_until_s']:
+        return []
     record = LeaderRecord(token=state['duty'].record.token)
     write = records.write_leader(record, state['duty'].version)
     return [records.write(state, ResignLeadership(), write)]
--- a/poplarspoke/control/state.py
+++ b/poplarspoke/control/state.py
@@ -314,6 +314,8 @@
             orders of the former one.
         first_order_s: Earliest time at which this host, as a new leader, may
             order a promotion.
+        orders_until_s: Until when an order of this host without an answer may
+            still reach the platform.
         next_claim_s: Earliest time of the next claim of the leader lease.
         leader_last_response_s: When the leader last answered this host.
         next_bootstrap_s: When this host writes missing first primaries; 0 if
@@ -395,6 +397,7 @@
     next_write: int
     former_leader_wait_s: float
     first_order_s: float
+    orders_until_s: float
     next_claim_s: float
     leader_last_response_s: float
     next_bootstrap_s: float
@@ -470,6 +473,7 @@
         next_write=1,
         former_leader_wait_s=0,
         first_order_s=0,
+        orders_until_s=0,
         next_claim_s=0,
         leader_last_response_s=0,
         next_bootstrap_s=0,
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -27,6 +27,7 @@
     EndpointsUpdated,
     EndpointUnresponsive,
     LogDecision,
+    ShutDown,
 )
 from poplarspoke.generated.rules import EndpointRole
 from tests.control_simulation import (
@@ -380,6 +381,25 @@
     assert simulation.now_s - claimed_s > failover.ORDER_LIFETIME_S
 
 
+# Guards against a lower token that arrives after a higher one: the next leader does
+# not wait for one that has resigned.
+def test_leader_with_an_order_on_its_way_does_not_resign(
+    simulation: ControlSimulation,
+) -> None:
+    """A failover may be abandoned while its order is on the way."""
+    simulation.set_entry('m1', draining=True)
+    while not simulation.orders:
+        simulation.run(TICK_S)
+    leader = simulation.read_record('duty')['holder']
+    state = simulation.hosts[leader]
+    leadership.abandon_all(state, simulation.now_s)
+    simulation.post(leader, ShutDown(6))
+    assert simulation.read_record('duty')['holder'] == leader
+    simulation.now_s = simulation.orders[-1].expires_s
+    simulation.post(leader, ShutDown(6))
+    assert not simulation.read_record('duty')['holder']
+
+
 def test_claims_of_leadership_have_a_backoff(
     simulation: ControlSimulation,
 ) -> None:
