--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -302,6 +302,19 @@
     assert answer.refusal.code is ErrorCode.TRANSACTION_ENDED
 
 
+@pytest.mark.parametrize(
+    'step', [TransactionStep.INSIDE, TransactionStep.COMMIT]
+)
+async def test_statement_of_a_transaction_needs_a_valid_key(
+    harness: ProxyHarness, step: TransactionStep
+) -> None:
+    """Guards against a withdrawn key that works on in a transaction (R6)."""
+    harness.host.key_refusal = KeyRefused('r1', reason='the key is revoked')
+    answer = await harness.send(step=step, transaction='h3~1~1')
+    assert answer.refusal.code is ErrorCode.KEY_REFUSED
+    assert not harness.host.statements
+
+
 async def test_lost_commit_marks_session_unknown(harness: ProxyHarness) -> None:
     """A read after a commit that may have run must see it (R1)."""
     lost = create_lost_result()._replace(database='db', position=Position(2, 0))
