Wait only for replicas that were lost shortly before the failover

Found when reading the change. A replica that had disappeared was forgotten 60 s later only with the next change of the endpoints, and not at all during a failover of its service. A primary that crashed long after a replica had been lost would have left a service with synchronous replicas without a primary until the operators changed its setting.

The choice leaves out replicas that were lost 60 s or more before the failover began. test_replica_lost_long_ago_is_not_waited_for failed before: nothing was ordered. Services without synchronous replicas wait for no such member, before and after.

--- a/poplarspoke/control/failover.py
+++ b/poplarspoke/control/failover.py
@@ -33,7 +33,7 @@
     SelectingCandidate,
     Step,
 )
-from poplarspoke.control.tables import RELAY
+from poplarspoke.control.tables import LOST_TTL_S, RELAY
 from poplarspoke.generated.common import Position
 from poplarspoke.generated.control import (
     EndpointState,
@@ -573,6 +573,7 @@
         name: candidates.GroupMember(name, is_gone=True)
         for name, gone in state['lost'].items()
         if gone.entry.service == service
+        and failover['started_s'] - gone.since_s < LOST_TTL_S
     }
     known = {**lost, **members}
     old = failover['old']
