Move the queries of members out of the failover

control/failover.py holds the steps of a failover; what the leader asks the members and how it describes them for the choice is control/members.py. The term that the old primary was demoted with was no longer read and is gone. No change in behaviour.

--- a/poplarspoke/control/failover.py
+++ b/poplarspoke/control/failover.py
@@ -16,7 +16,7 @@
 import functools
 from typing import Any
 
-from poplarspoke.control import candidates, records, revisions
+from poplarspoke.control import candidates, members, records, revisions
 from poplarspoke.control.state import (
     LEASE_MARGIN_S,
     PRIMARY_LEASE_S,
@@ -33,7 +33,7 @@
     SelectingCandidate,
     Step,
 )
-from poplarspoke.control.tables import LOST_TTL_S, RELAY
+from poplarspoke.control.tables import RELAY
 from poplarspoke.generated.common import Position
 from poplarspoke.generated.control import (
     EndpointState,
@@ -41,15 +41,14 @@
     PrimaryPhase,
     PrimaryRecord,
     PromotionAnswered,
-    QueryEndpoint,
     RecordsWritten,
     Released,
     RequestRelease,
     TermRecord,
 )
 from poplarspoke.generated.relay import LeaseRevoked, LogDecision
-from poplarspoke.generated.rules import EndpointEntry, EndpointRole
-from poplarspoke.tasks import Outgoing, ToHost, ToStore, ToTask
+from poplarspoke.generated.rules import EndpointRole
+from poplarspoke.tasks import ToHost, ToStore, ToTask
 
 # Datagrams may be lost; a round trip between zones takes 3 ms.
 QUERY_INTERVAL_S = 0.15
@@ -63,8 +62,6 @@
 CONFIRM_INTERVAL_S = 0.1
 HTTP_OK = 200
 HTTP_CONFLICT = 409
-# Reasons of a switchover: the old primary still runs and has the whole log.
-PLANNED = frozenset(('draining', 'zone evacuated'))
 
 
 def start(
@@ -92,7 +89,6 @@
         awaited='',
         candidate=known.record.candidate,
         excluded=set(),
-        demote_term=0,
         term=known.record.term,
         start=_find_start(state, known.record),
     )
@@ -149,8 +145,8 @@
     _enter_step(failover, ReleasingLeases(now_s + QUERY_INTERVAL_S))
     request = RequestRelease(own, failover['service'], failover['number'])
     outgoing: list[Any] = [ToHost(host, request) for host in sorted(missing)]
-    if failover['reason'] not in PLANNED:
-        outgoing.extend(_query(state, failover, failover['old'], now_s))
+    if failover['reason'] not in members.PLANNED:
+        outgoing.extend(members.query(state, failover, failover['old'], now_s))
     return outgoing
 
 
@@ -161,7 +157,9 @@
     failover: Failover,
     now_s: float,
 ) -> list[Any]:
-    situation = _describe_situation(state, failover, now_s - step.since_s)
+    situation = members.describe_situation(
+        state, failover, now_s - step.since_s
+    )
     choice = candidates.choose(situation)
     if now_s >= state['first_order_s']:
         outgoing = _handle_choice(choice, situation, state, failover, now_s)
@@ -172,7 +170,7 @@
     _enter_step(
         failover, SelectingCandidate(step.since_s, now_s + QUERY_INTERVAL_S)
     )
-    return [*outgoing, *_query_all(state, failover, now_s)]
+    return [*outgoing, *members.query_all(state, failover, now_s)]
 
 
 @advance.register
@@ -207,7 +205,7 @@
     _enter_step(
         failover, ConfirmingPromotion(step.since_s, now_s + CONFIRM_INTERVAL_S)
     )
-    return _query(state, failover, failover['candidate'], now_s)
+    return members.query(state, failover, failover['candidate'], now_s)
 
 
 @functools.singledispatch
@@ -523,89 +521,6 @@
     return known.start
 
 
-def _query_all(
-    state: ControlState, failover: Failover, now_s: float
-) -> list[Any]:
-    outgoing: list[Any] = []
-    for name, entry in state['endpoints'].items():
-        if entry.service != failover['service'] or name in failover['excluded']:
-            continue
-        demote_term = 0
-        if name == failover['old']:
-            # The demotion stops its writes, so that its answer states the end
-            # of its log.
-            terms = [known.term for known in failover['states'].values()]
-            demote_term = max(terms, default=0) + 1 if terms else 0
-            failover['demote_term'] = demote_term
-        outgoing.extend(
-            _query(state, failover, name, now_s, demote_term=demote_term)
-        )
-    return outgoing
-
-
-def _query(
-    state: ControlState,
-    failover: Failover,
-    endpoint: str,
-    now_s: float,
-    *,
-    demote_term: int = 0,
-) -> list[Outgoing]:
-    entry = state['endpoints'].get(endpoint)
-    if entry is None:
-        return []
-    query = QueryEndpoint(
-        failover['service'], endpoint, entry.address, demote_term, now_s
-    )
-    return [ToTask('endpoints', query)]
-
-
-def _describe_situation(
-    state: ControlState, failover: Failover, waited_s: float
-) -> candidates.Situation:
-    service = failover['service']
-    members = {
-        name: _describe_member(state, failover, entry)
-        for name, entry in state['endpoints'].items()
-        if entry.service == service
-    }
-    lost = {
-        name: candidates.GroupMember(name, is_gone=True)
-        for name, gone in state['lost'].items()
-        if gone.entry.service == service
-        and failover['started_s'] - gone.since_s < LOST_TTL_S
-    }
-    known = {**lost, **members}
-    old = failover['old']
-    return candidates.Situation(
-        old=known.pop(old, candidates.GroupMember(old, is_gone=True)),
-        others=tuple(known[name] for name in sorted(known)),
-        term=failover['term'],
-        start=failover['start'],
-        sync_replicas=_find_sync_replicas(state, service),
-        is_planned=failover['reason'] in PLANNED,
-        waited_s=waited_s,
-    )
-
-
-def _describe_member(
-    state: ControlState, failover: Failover, entry: EndpointEntry
-) -> candidates.GroupMember:
-    return candidates.GroupMember(
-        endpoint=entry.endpoint,
-        answer=failover['states'].get(entry.endpoint),
-        is_leaving=entry.draining or entry.zone in state['evacuated'],
-        is_excluded=entry.endpoint in failover['excluded'],
-    )
-
-
-def _find_sync_replicas(state: ControlState, service: str) -> int:
-    for rule in state['ruleset'].services:
-        if rule.name == service:
-            return rule.sync_replicas
-    return 0
-
-
 def _restart_choice(
     state: ControlState,
     failover: Failover,
--- a/poplarspoke/control/state.py
+++ b/poplarspoke/control/state.py
@@ -242,7 +242,6 @@
             not wait.
         candidate: Endpoint that is to become the primary; empty before.
         excluded: Endpoints that could not be promoted.
-        demote_term: Term that the old primary is demoted with; 0 before.
         term: Newest term that is known to have had a primary.
         start: End of the log with which that term began; empty if unknown.
     """
@@ -260,7 +259,6 @@
     awaited: str
     candidate: str
     excluded: set[str]
-    demote_term: int
     term: int
     start: Position
 
