--- a/poplarspoke/control/candidates.py
+++ b/poplarspoke/control/candidates.py
@@ -184,7 +184,7 @@
     is_late = situation.waited_s >= CATCH_UP_TIMEOUT_S
     if is_late and _may_be_promoted(old) and not old.is_leaving:
         if _find_old_log(situation) is not None:
-            return Chosen(old.endpoint, 'alone has a log of the newest term')
+            return Chosen(old.endpoint, 'only one with the newest term')
     if not candidates:
         return Undecided('no member answers')
     if situation.waited_s < OLD_TERM_TIMEOUT_S:
--- a/tests/test_candidates.py
+++ b/tests/test_candidates.py
@@ -161,7 +161,7 @@
         sync_replicas=0,
     )
     assert candidates.choose(situation) == Chosen(
-        'm1', 'alone has a log of the newest term'
+        'm1', 'only one with the newest term'
     )
     soon = situation._replace(waited_s=SOON_S)
     assert isinstance(candidates.choose(soon), Undecided)
