Show acknowledged commits lost after a replica has left

Cause: a replica that left as planned is not among those whose log a failover with synchronous replicas has to know. Change: case review/7; the stand-ins learn synchronous replicas, members that leave and entries that expire.

--- a/review/rig/members.py
+++ b/review/rig/members.py
@@ -48,11 +48,14 @@
         self.log: list[Commit] = []
         self.born_ms = int(time.time() * 1000)
         self.sequence = 0
+        self.state = 'ready'
         self.port = 0
-        self.runs = 0
+        # Whether it receives nothing from the primary.
+        self.is_deaf = False
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._last_beat_s = 0.0
+        self._listed = False
 
     @property
     def is_up(self) -> bool:
@@ -108,6 +111,7 @@
         """Writes the member's own entry to the store."""
         self.sequence += 1
         self._last_beat_s = time.monotonic()
+        self._listed = True
         self.service.store.put(
             'servers',
             self.name,
@@ -117,7 +121,7 @@
                 'zone': self.zone,
                 'version': 'v1',
                 'slots': 2,
-                'state': 'ready',
+                'state': self.state,
                 'coldRemainingMs': 0,
                 'seq': self.sequence,
                 'dbRole': self.role,
@@ -125,10 +129,20 @@
             },
         )
 
+    def leave(self) -> None:
+        """Ends the member after its planned shutdown."""
+        self.crash()
+        self._listed = False
+        self.service.store.drop('servers', self.name)
+
     def beat(self) -> None:
-        """Reports again after the interval."""
-        if self.is_up and time.monotonic() - self._last_beat_s >= HEARTBEAT_S:
+        """Reports again after the interval; an entry expires after three."""
+        silent_s = time.monotonic() - self._last_beat_s
+        if self.is_up and silent_s >= HEARTBEAT_S:
             self.report()
+        elif not self.is_up and self._listed and silent_s >= 3 * HEARTBEAT_S:
+            self._listed = False
+            self.service.store.drop('servers', self.name)
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -203,7 +217,7 @@
             if self._written and member.role != 'primary':
                 self.phase = 'E'
                 return self._close_answer('ERROR READONLY ' + member.name)
-            self._commit(request)
+            await self._commit(request)
             return self._close_answer(f'COMPLETE {member.name}.sig')
         if verb == 'ROLLBACK':
             self._written = {}
@@ -250,10 +264,10 @@
             return self._close_answer('ERROR READONLY ' + member.name)
         self._written[item] = content
         if self.phase == 'I':
-            self._commit(request)
+            await self._commit(request)
         return self._close_answer(f'COMPLETE {member.name}.sig')
 
-    def _commit(self, request: str) -> None:
+    async def _commit(self, request: str) -> None:
         member = self.member
         if self._written:
             number = member.log[-1].number + 1 if member.log else 1
@@ -263,6 +277,9 @@
                 f'{member.name} (primary, term {member.term}): {request} '
                 f'commits {member.format_position()}'
             )
+            self._written = {}
+            while not member.service.is_received(commit):
+                await asyncio.sleep(REPLICATION_S / 4)
         self._written = {}
         self.phase = 'I'
 
@@ -297,6 +314,7 @@
         self.leader: Member | None = self.members[0]
         self.newest_term = 1
         self.rolled_back: list[Commit] = []
+        self.sync_replicas = 0
         self._tasks: list[asyncio.Task] = []
 
     async def __aenter__(self) -> 'Service':
@@ -322,6 +340,17 @@
         """Returns how long a statement on an item takes."""
         return self.work_s.get(item, 0.005)
 
+    def is_received(self, commit: Commit) -> bool:
+        """Returns whether as many replicas as needed have a commit."""
+        if not self.sync_replicas:
+            return True
+        holders = sum(
+            commit in member.log
+            for member in self.members
+            if member.is_up and member.role == 'replica'
+        )
+        return holders >= self.sync_replicas
+
     def find_primary(self) -> Member | None:
         """Returns the running primary of the newest term."""
         primaries = [
@@ -362,7 +391,7 @@
                 member.beat()
                 if primary is None or member is primary or not member.is_up:
                     continue
-                if primary.term < member.term:
+                if primary.term < member.term or member.is_deaf:
                     continue
                 if member.role == 'primary':
                     member.role = 'replica'
--- a/review/rig/site.py
+++ b/review/rig/site.py
@@ -203,7 +203,7 @@
                     {
                         'name': self.service.name,
                         'maxConns': self.max_connections,
-                        'syncReplicas': 0,
+                        'syncReplicas': self.service.sync_replicas,
                     }
                 ],
                 'limits': {'txIdleMs': 5000},
--- a/review/rig/store.py
+++ b/review/rig/store.py
@@ -118,7 +118,7 @@
             pass
         finally:
             self._tasks.discard(task)
-            writer.close()
+            writer.transport.abort()
 
     async def _answer(
         self, target: str, headers: dict, body: bytes
