--- a/review/7/case.py
+++ b/review/7/case.py
@@ -12,11 +12,11 @@
 
 FOLDER = Path(__file__).resolve().parent
 # Times in seconds after the replica has reported that it drains.
-DEAF_AT_S = 5.0
+DEAF_AT_S = 5.5
 DEAF_S = 6.5
-LEFT_AT_S = 7.5
-REPLACED_AT_S = 12.5
-CRASH_AT_S = 7.8
+LEFT_AT_S = 8.0
+REPLACED_AT_S = 13.0
+CRASH_AT_S = 8.3
 DOWN_S = 7.0
 END_S = 24.0
 PAUSE_S = 0.05
@@ -117,8 +117,4 @@
 
 
 if __name__ == '__main__':
-    try:
-        sys.exit(asyncio.run(main()))
-    except RuntimeError as exc:
-        print(exc)
-        sys.exit(2)
+    sys.exit(rig.run_case(main))
--- a/review/rig/site.py
+++ b/review/rig/site.py
@@ -3,12 +3,14 @@
 import asyncio
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
 import sys
 import tempfile
 import time
+from collections.abc import Callable, Coroutine
 from pathlib import Path
 
 from review.rig.members import Service
@@ -19,6 +21,10 @@
 ZONES = ('z-a', 'z-b', 'z-c')
 REGION = 'r-1'
 KEY = 'key-blue'
+PORTS = (20_000, 32_000)
+# Limit on the time of a case, and the status if it couldn't run.
+LIMIT_S = 115
+COULD_NOT_RUN = 2
 BOUNDS = {
     'seedLagS': 3,
     'addrReuseS': 2,
@@ -327,6 +333,15 @@
         raise RuntimeError('the hosts did not become ready')
 
 
+def run_case(main: Callable[[], Coroutine[None, None, int]]) -> int:
+    """Runs a case; returns its exit status, 2 if it couldn't run."""
+    try:
+        return asyncio.run(asyncio.wait_for(main(), LIMIT_S))
+    except Exception as exc:
+        print(f'the case could not run: {type(exc).__name__}: {exc}')
+        return COULD_NOT_RUN
+
+
 def create_route(database: str, kind: str, timeout_ms: int) -> dict:
     """Returns a route of the configuration."""
     return {
@@ -346,14 +361,23 @@
 
 
 def find_free_ports(count: int) -> list[int]:
-    """Returns free ports of the loopback address."""
-    sockets = [socket.create_server((LOOPBACK, 0)) for _ in range(count)]
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
+    """Returns free ports below those of outgoing connections."""
+    ports: list[int] = []
+    while len(ports) < count:
+        port = random.randrange(*PORTS)
+        if port not in ports and _is_free(port):
+            ports.append(port)
     return ports
 
 
+def _is_free(port: int) -> bool:
+    try:
+        with socket.create_server((LOOPBACK, port)):
+            return True
+    except OSError:
+        return False
+
+
 def has_trouble() -> bool:
     """Returns whether the disruption is to be caused."""
     return os.environ.get('TROUBLE', '1') != '0'
