Wait for the log of a synchronous replica that has left

Cause: a commit is acknowledged once one replica has received it, so the choice of a candidate counts the replicas whose log it does not know. Only members that were registered, or had disappeared without draining, were in that count. A replica that drains receives and counts until it ends, but was forgotten when it left; the replica that remained, which had received nothing, then seemed to be the only one. Members that disappeared were forgotten after 60 s, by each host for itself, and not known to a leader that started later. Both rest on time, which proves nothing: a replica may receive nothing for as long. Ruled out: the crash of the primary. With its zone evacuated instead, the primary stays up and the loss is the same, since its log bounds the choice only once it has been demoted and the replicas' answers seemed to suffice before.

Change: a member that leaves, as planned or not, counts as one without an answer until an answer shows a log that reaches its end, or a successor at its address has the whole log. The end is the log of the primary, queried after the departure; once as many of the others as acknowledge a commit have received it, the departed log is not needed. The leader keeps the members in a row of the records, so that a later leader knows them, also after all hosts have restarted; two or three writes and one or two rounds of queries for each member that leaves, and none in services without synchronous replicas. A process that starts again under its name is another incarnation, and must show the whole log if its end is known. A leader without a configuration chooses no candidate.

Why it works: logs have no gaps, so a log that reaches the end of the departed one has all that was acknowledged on its word.

--- a/poplarspoke/control/candidates.py
+++ b/poplarspoke/control/candidates.py
@@ -4,7 +4,9 @@
 election restriction: the last term counts first, then the length of the log. With
 synchronous replication a commit is acknowledged once some replicas have received
 it, so the choice needs the log of the old primary, or so many answers that at
-least one is from a replica that has received the last acknowledged commit.
+least one is from a replica that has received the last acknowledged commit. A
+replica that has left counts as one without an answer, as planned or not, until an
+answer shows a log that has all that it may have held.
 """
 
 from typing import NamedTuple, TypeAlias
@@ -22,6 +24,9 @@
 # they are lost. Until then an outage is preferred to the log of a superseded
 # primary, which would bring back commits that were rolled back.
 OLD_TERM_TIMEOUT_S = 10.0
+# The log of a member that left is on its successor once that has answered with the
+# same log for this long: a transfer under way makes it grow.
+TRANSFER_TIMEOUT_S = 0.5
 EMPTY_LOG = Position()
 
 
@@ -35,6 +40,12 @@
         is_leaving: Whether it is draining or in an evacuated zone.
         is_excluded: Whether the platform could not promote it.
         is_gone: Whether it is no longer registered.
+        end: End of the log of the primary at a time when this member had left, so
+            that it holds nothing beyond; empty if unknown.
+        successor: Registered member at the address, or with the name, of one that
+            has left; empty if there is none.
+        unchanged_s: Time in seconds between its first and its newest answer with
+            this log.
     """
 
     endpoint: str
@@ -42,6 +53,9 @@
     is_leaving: bool = False
     is_excluded: bool = False
     is_gone: bool = False
+    end: Position = EMPTY_LOG
+    successor: str = ''
+    unchanged_s: float = 0
 
 
 class Situation(NamedTuple):
@@ -49,7 +63,8 @@
 
     Attributes:
         old: The old primary.
-        others: The other members, also those that are gone and may come back.
+        others: The other members, also those that are gone and may hold commits
+            that no other member has.
         term: Newest term that is known to have had a primary.
         start: End of the log with which that term began; empty if unknown.
         sync_replicas: Number of replicas that have received a commit when it is
@@ -136,7 +151,7 @@
     """
     bound = _find_bound(situation)
     if bound is None:
-        missing = ','.join(_list_missing(situation))
+        missing = ','.join(map(_name_missing, _list_missing(situation)))
         return Undecided(f'acknowledged commits may be only on {missing}')
     holders = _list_holders(situation, candidates, bound)
     if not holders and _is_caught_up(situation):
@@ -264,7 +279,7 @@
     ]
 
 
-def _list_missing(situation: Situation) -> list[str]:
+def _list_missing(situation: Situation) -> list[GroupMember]:
     """Returns the replicas whose log is not known.
 
     One with an empty log has started again; what it had received is gone.
@@ -272,12 +287,36 @@
     logs = [_find_log(member) for member in situation.others]
     is_empty = max(logs, default=EMPTY_LOG) == EMPTY_LOG
     return [
-        member.endpoint
+        member
         for member, log in zip(situation.others, logs, strict=True)
-        if member.answer is None or (log == EMPTY_LOG and not is_empty)
+        if (member.answer is None and not _is_covered(situation, member))
+        or (log == EMPTY_LOG and member.answer is not None and not is_empty)
     ]
 
 
+def _is_covered(situation: Situation, member: GroupMember) -> bool:
+    """Returns whether the log of a member that has left is on another one.
+
+    A successor with another name takes over the whole log. A member that starts
+    again under its name may have lost it, and must show the whole log if its end
+    is known.
+    """
+    if not member.is_gone:
+        return False
+    is_end_known = member.end != EMPTY_LOG
+    if is_end_known and _find_longest_log(situation) >= member.end:
+        return True
+    if is_end_known and member.successor == member.endpoint:
+        return False
+    return any(
+        other.endpoint == member.successor
+        and not other.is_gone
+        and _find_log(other) != EMPTY_LOG
+        and other.unchanged_s >= TRANSFER_TIMEOUT_S
+        for other in situation.others
+    )
+
+
 def _is_caught_up(situation: Situation) -> bool:
     """Returns whether no other member will receive more of the log."""
     if situation.old.answer is None:
@@ -293,7 +332,13 @@
 
 
 def _may_be_promoted(member: GroupMember) -> bool:
-    return member.answer is not None and not member.is_excluded
+    """Returns whether a member answers and the platform may promote it.
+
+    Hosts cannot use one that is not registered.
+    """
+    if member.is_gone or member.is_excluded:
+        return False
+    return member.answer is not None
 
 
 def _find_longest(members: list[GroupMember]) -> GroupMember:
@@ -304,6 +349,14 @@
     return member.answer.received if member.answer else EMPTY_LOG
 
 
+def _name_missing(member: GroupMember) -> str:
+    if not member.is_gone:
+        return member.endpoint
+    if member.successor:
+        return f'{member.endpoint} (left, its successor lacks the log)'
+    return f'{member.endpoint} (left, no successor)'
+
+
 def _format_log(log: Position) -> str:
     return f'{log.term}.{log.position}'
 
@@ -321,4 +374,8 @@
         words.append('excluded')
     if member.is_gone:
         words.append('gone')
+    if member.end != EMPTY_LOG:
+        words.append(f'end {_format_log(member.end)}')
+    if member.successor:
+        words.append(f'successor {member.successor}')
     return ' '.join(words)
--- a/poplarspoke/control/decisions.py
+++ b/poplarspoke/control/decisions.py
@@ -6,6 +6,7 @@
 from poplarspoke.control import (
     confirmation,
     failover,
+    groups,
     isolation,
     leadership,
     reconciliation,
@@ -149,6 +150,7 @@
         retirement.check,
         leadership.check,
         leadership.report_progress,
+        groups.check,
         usage.check,
     )
     for check in checks:
@@ -268,6 +270,7 @@
 @decide.register
 def _(message: EndpointState, state: ControlState, now_s: float) -> list[Any]:
     leadership.record_probe(state, message)
+    groups.record_answer(state, message)
     return failover.handle_endpoint_state(state, message, now_s)
 
 
--- a/poplarspoke/control/failover.py
+++ b/poplarspoke/control/failover.py
@@ -94,6 +94,7 @@
         released=set(),
         majority_released_s=0,
         states={},
+        unchanged_since_s={},
         awaited='',
         candidate=known.record.candidate,
         excluded=set(),
@@ -161,11 +162,11 @@
     failover: Failover,
     now_s: float,
 ) -> list[Any]:
-    situation = members.describe_situation(
-        state, failover, now_s - step.since_s
-    )
+    situation = members.describe_situation(state, failover, step, now_s)
     choice = candidates.choose(situation)
-    if now_s >= state['first_order_s']:
+    # The configuration says whether replicas are synchronous.
+    is_informed = bool(state['ruleset'].version)
+    if is_informed and now_s >= state['first_order_s']:
         outgoing = _handle_choice(choice, situation, state, failover, now_s)
     else:
         outgoing = []
@@ -354,8 +355,12 @@
     step: SelectingCandidate, failover: Failover, message: EndpointState
 ) -> None:
     # Commits may have been acknowledged after an earlier query was answered.
-    if message.asked_s >= step.since_s:
-        failover['states'][message.endpoint] = message
+    if message.asked_s < step.since_s:
+        return
+    known = failover['states'].get(message.endpoint)
+    if known is None or known.received != message.received:
+        failover['unchanged_since_s'][message.endpoint] = message.asked_s
+    failover['states'][message.endpoint] = message
 
 
 def _keep_old_primary(
@@ -561,6 +566,7 @@
         failover['excluded'].clear()
     failover['candidate'] = ''
     failover['states'].clear()
+    failover['unchanged_since_s'].clear()
     _enter_step(failover, SelectingCandidate(now_s, now_s))
     return [line]
 
--- a/poplarspoke/control/metrics.py
+++ b/poplarspoke/control/metrics.py
@@ -2,7 +2,7 @@
 
 from prometheus_client import CollectorRegistry, Gauge
 
-from poplarspoke.control import revisions
+from poplarspoke.control import members, revisions
 from poplarspoke.control.state import RECORDS, ControlState
 from poplarspoke.control.usage_metrics import UsageMetrics
 
@@ -39,6 +39,12 @@
             'Failovers of this host that wait for a member with the log.',
             registry=registry,
         )
+        self._departed = Gauge(
+            'poplarspoke_control_departed_members',
+            'Members that left and whose log a failover may need.',
+            ('service',),
+            registry=registry,
+        )
         self._configuration = Gauge(
             'poplarspoke_control_configuration_version',
             'Version of the configuration in force.',
@@ -61,6 +67,9 @@
             if ongoing['awaited']
         ]
         self._awaited.set(len(awaited))
+        for service in state['groups']:
+            departed = members.list_departed(state, service)
+            self._departed.labels(service).set(len(departed))
         self._unwritten.set(len(state['unwritten']))
         self._configuration.set(state['ruleset'].version)
         self._usage.observe(state, now_s)
--- a/poplarspoke/control/reconciliation.py
+++ b/poplarspoke/control/reconciliation.py
@@ -15,6 +15,7 @@
 from poplarspoke.control.state import (
     ENDPOINTS,
     EVACUATION_PREFIX,
+    GROUP_PREFIX,
     HOST_PREFIX,
     LEADER_KEY,
     LEASE_MARGIN_S,
@@ -26,6 +27,7 @@
     Table,
 )
 from poplarspoke.generated.control import (
+    GroupRecord,
     HostRecord,
     LeaderRecord,
     PrimaryPhase,
@@ -68,6 +70,7 @@
     Ruleset
     | Evacuation
     | EndpointEntry
+    | GroupRecord
     | HostRecord
     | LeaderRecord
     | PrimaryRecord
@@ -167,7 +170,9 @@
     A write of an earlier era may take effect late if its condition holds again
     by chance; the known content is then written again.
     """
-    is_guarded = row.key == LEADER_KEY or row.key.startswith(PRIMARY_PREFIX)
+    is_guarded = row.key == LEADER_KEY or row.key.startswith(
+        (PRIMARY_PREFIX, GROUP_PREFIX)
+    )
     if is_guarded and _is_known_newer(
         state, RECORDS, Versions(known, row, is_recent=True)
     ):
@@ -218,6 +223,13 @@
     return versions.known.removed or (known.retired and not found.retired)
 
 
+@is_newer.register
+def _(known: GroupRecord, found: Content, versions: Versions) -> bool:
+    if not isinstance(found, GroupRecord):
+        return versions.found.removed
+    return known.number > found.number
+
+
 @is_newer.register
 def _(known: LeaderRecord, found: Content, versions: Versions) -> bool:
     if versions.found.removed:
@@ -264,6 +276,8 @@
         return codec.parse(LeaderRecord, fields)
     if row.key.startswith(PRIMARY_PREFIX):
         return codec.parse(PrimaryRecord, fields)
+    if row.key.startswith(GROUP_PREFIX):
+        return codec.parse(GroupRecord, fields)
     return Unknown()
 
 
--- a/poplarspoke/control/records.py
+++ b/poplarspoke/control/records.py
@@ -6,6 +6,7 @@
 from poplarspoke import codec
 from poplarspoke.control.state import (
     ERA_KEY,
+    GROUP_PREFIX,
     HOST_PREFIX,
     LEADER_KEY,
     PRIMARY_PREFIX,
@@ -19,6 +20,7 @@
 from poplarspoke.control.usage_state import USAGE_KEY
 from poplarspoke.generated.control import (
     EraRecord,
+    GroupRecord,
     HostRecord,
     LeaderRecord,
     PrimaryRecord,
@@ -99,6 +101,12 @@
     return RecordWrite(key, _find_version(state, key), _dump(record))
 
 
+def write_group(state: ControlState, record: GroupRecord) -> RecordWrite:
+    """Returns the write of the members of a service."""
+    key = GROUP_PREFIX + record.service
+    return RecordWrite(key, _find_version(state, key), _dump(record))
+
+
 def write_usage(record: UsageRecord, version: int) -> RecordWrite:
     """Returns the write of the row of the usage reports."""
     return RecordWrite(USAGE_KEY, version, _dump(record))
--- a/poplarspoke/control/state.py
+++ b/poplarspoke/control/state.py
@@ -12,6 +12,7 @@
 from poplarspoke.generated.common import Position
 from poplarspoke.generated.control import (
     EndpointState,
+    GroupRecord,
     HostRecord,
     LeaderRecord,
     PrimaryRecord,
@@ -48,6 +49,7 @@
 HOST_PREFIX = 'host/'
 PRIMARY_PREFIX = 'primary/'
 TERM_PREFIX = 'term/'
+GROUP_PREFIX = 'group/'
 LEADER_KEY = 'duty'
 ERA_KEY = 'era'
 RELEASE_PREFIX = 'release/'
@@ -100,8 +102,20 @@
     version: int
 
 
+class Incarnation(NamedTuple):
+    """One process of an endpoint, which may start again under its name.
+
+    Attributes:
+        endpoint: Name of the endpoint.
+        born_ms: Start of its process, ms since 1970.
+    """
+
+    endpoint: str
+    born_ms: int
+
+
 class LostEndpoint(NamedTuple):
-    """An endpoint that has disappeared without draining.
+    """A process of an endpoint that has left, as planned or not.
 
     Attributes:
         entry: Its last entry.
@@ -213,6 +227,12 @@
     """A write of the releases that this host has witnessed, or its removal."""
 
 
+class RecordGroup(NamedTuple):
+    """A write of the members of a service with synchronous replicas."""
+
+    service: str
+
+
 class ReportProgress(NamedTuple):
     """A write that shows that the leader is alive while a failover waits."""
 
@@ -234,6 +254,7 @@
     | RetireHost
     | RecordFirstPrimaries
     | RecordReleases
+    | RecordGroup
     | ReportProgress
     | ConfirmEra
     | AdvanceFailover
@@ -259,6 +280,18 @@
     next_write_s: float
 
 
+class Probe(NamedTuple):
+    """Queries of the members of a service from which one has left.
+
+    Attributes:
+        asked_s: When the queries were sent; the answers repeat it.
+        answers: Answers by endpoint.
+    """
+
+    asked_s: float
+    answers: dict[str, EndpointState]
+
+
 class Failover(TypedDict):
     """A failover that this host, as the leader, carries out.
 
@@ -273,6 +306,7 @@
         majority_released_s: When all hosts of a majority of the zones had
             released it; 0 before.
         states: Newest answers of the endpoints to queries of the choice.
+        unchanged_since_s: When each endpoint first answered with its present log.
         awaited: What the choice of the candidate waits for; empty if it does
             not wait.
         candidate: Endpoint that is to become the primary; empty before.
@@ -292,6 +326,7 @@
     released: set[str]
     majority_released_s: float
     states: dict[str, EndpointState]
+    unchanged_since_s: dict[str, float]
     awaited: str
     candidate: str
     excluded: set[str]
@@ -339,7 +374,12 @@
         changing_since_s: When the row of a primary was first seen in a
             failover; no host has renewed its lease since then.
         absent_since_s: When an endpoint's row was first missing.
-        lost: Endpoints that have disappeared without draining, by name.
+        lost: Processes of endpoints that have left.
+        groups: Members of each service with synchronous replicas, as recorded.
+        probes: Queries under way of the members of such services, by service.
+        next_probe_s: Earliest time of the next queries, by service.
+        next_group_write_s: Earliest time of the next write of the members, by
+            service.
         silent: Unresponsive endpoints, with the time of the latest report of
             this host's relay.
         changes: Failovers that this host carries out, by service.
@@ -435,7 +475,11 @@
     released: dict[str, int]
     changing_since_s: dict[str, float]
     absent_since_s: dict[str, float]
-    lost: dict[str, LostEndpoint]
+    lost: dict[Incarnation, LostEndpoint]
+    groups: dict[str, GroupRecord]
+    probes: dict[str, Probe]
+    next_probe_s: dict[str, float]
+    next_group_write_s: dict[str, float]
     silent: dict[str, float]
     reports: dict[str, Report]
     changes: dict[str, Failover]
@@ -521,6 +565,10 @@
         changing_since_s={},
         absent_since_s={},
         lost={},
+        groups={},
+        probes={},
+        next_probe_s={},
+        next_group_write_s={},
         silent={},
         reports={},
         changes={},
@@ -580,5 +628,18 @@
     )
 
 
+def find_sync_replicas(state: ControlState, service: str) -> int:
+    """Returns how many replicas have received an acknowledged commit."""
+    for rule in state['ruleset'].services:
+        if rule.name == service:
+            return rule.sync_replicas
+    return 0
+
+
+def identify(entry: EndpointEntry) -> Incarnation:
+    """Returns the process that an entry names."""
+    return Incarnation(entry.endpoint, entry.born_ms)
+
+
 def _create_table() -> Table:
     return Table(version=0, rows={}, newest=0, confirmed_s=0, complete=False)
--- a/poplarspoke/control/tables.py
+++ b/poplarspoke/control/tables.py
@@ -19,6 +19,7 @@
     ENDPOINTS,
     ERA_KEY,
     EVACUATION_PREFIX,
+    GROUP_PREFIX,
     HOST_PREFIX,
     LEADER_KEY,
     PRIMARY_LEASE_S,
@@ -30,14 +31,18 @@
     RULES_KEY,
     TERM_PREFIX,
     ControlState,
+    Incarnation,
     LostEndpoint,
     Table,
     VersionedLeader,
     VersionedPrimary,
+    find_sync_replicas,
+    identify,
 )
 from poplarspoke.control.usage_state import USAGE_KEY
 from poplarspoke.generated.control import (
     EraRecord,
+    GroupRecord,
     HostRecord,
     LeaderRecord,
     PeerAddresses,
@@ -68,8 +73,8 @@
 # The operators write again what a restored store lacks as soon as it is back. An
 # evacuation that it lacks is kept until then, and dropped if it stays missing.
 HELD_ROW_TTL_S = 2.5
-# A service that takes writes has acknowledged some within this time, so that the
-# other replicas have received what a lost endpoint has.
+# The log lines of a choice name endpoints of a service without synchronous replicas
+# for this long after they have left.
 LOST_TTL_S = 60.0
 RELAY = 'relay'
 
@@ -212,8 +217,7 @@
             continue
         entry = state['endpoints'].pop(name)
         state['absent_since_s'].pop(name)
-        if not entry.draining:
-            state['lost'][name] = LostEndpoint(entry, now_s)
+        state['lost'][identify(entry)] = LostEndpoint(entry, now_s)
     _forget_lost(state, now_s)
     known = EndpointsUpdated(tuple(entries), state['evacuated'])
     return [ToTask(RELAY, known)]
@@ -224,12 +228,14 @@
     addresses = {
         (entry.service, entry.address) for entry in state['endpoints'].values()
     }
-    for name, (entry, since_s) in list(state['lost'].items()):
-        # A new endpoint at the address has received the log of the lost one.
+    for process, (entry, since_s) in list(state['lost'].items()):
+        if find_sync_replicas(state, entry.service):
+            # The row of the group shows when its log is not needed any more.
+            continue
         is_replaced = (entry.service, entry.address) in addresses
         is_old = now_s - since_s >= LOST_TTL_S
         if is_replaced or (is_old and entry.service not in state['changes']):
-            state['lost'].pop(name)
+            state['lost'].pop(process)
 
 
 def create_view(
@@ -345,20 +351,25 @@
     now_s: float,
 ) -> list[Any]:
     if table == ENDPOINTS:
-        return _apply_endpoint(state, row)
+        return _apply_endpoint(state, row, now_s)
     if table == RULES:
         return _apply_rule(state, row)
     return _apply_record(state, row, now_s)
 
 
-def _apply_endpoint(state: ControlState, row: TableRow) -> list[Any]:
+def _apply_endpoint(
+    state: ControlState, row: TableRow, now_s: float
+) -> list[Any]:
     if row.removed:
         return []
     entry = state['decoders'].decode_endpoint(row.key, row.content)
     if entry is None:
         return [_log_unreadable(ENDPOINTS, row)]
+    known = state['endpoints'].get(row.key)
+    if known is not None and identify(known) != identify(entry):
+        state['lost'][identify(known)] = LostEndpoint(known, now_s)
     state['endpoints'][row.key] = entry
-    state['lost'].pop(row.key, None)
+    state['lost'].pop(identify(entry), None)
     return []
 
 
@@ -417,6 +428,8 @@
     if row.key.startswith(TERM_PREFIX):
         service = row.key.removeprefix(TERM_PREFIX)
         state['terms'][service] = codec.parse(TermRecord, _load(row))
+    if row.key.startswith(GROUP_PREFIX):
+        _apply_group(state, codec.parse(GroupRecord, _load(row)))
     if row.key.startswith(PRIMARY_PREFIX):
         return _apply_primary(state, row, now_s)
     if row.key.startswith(RELEASE_PREFIX) and not row.removed:
@@ -454,6 +467,17 @@
     return [line]
 
 
+def _apply_group(state: ControlState, record: GroupRecord) -> None:
+    """Replaces the members of a service, and forgets those left out."""
+    former = state['groups'].get(record.service, GroupRecord())
+    kept = {(member.endpoint, member.born_ms) for member in record.members}
+    for member in former.members:
+        process = Incarnation(member.endpoint, member.born_ms)
+        if process not in kept:
+            state['lost'].pop(process, None)
+    state['groups'][record.service] = record
+
+
 def _apply_releases(state: ControlState, record: ReleaseRecord) -> None:
     """Counts the releases that a witness has written, as the leader."""
     failover = state['changes'].get(record.service)
--- a/poplarspoke/control/writes.py
+++ b/poplarspoke/control/writes.py
@@ -9,6 +9,7 @@
     ClaimLeadership,
     ConfirmEra,
     ControlState,
+    RecordGroup,
     RecordFirstPrimaries,
     RecordReleases,
     RegisterHost,
@@ -59,6 +60,7 @@
     | RetireHost
     | RecordFirstPrimaries
     | RecordReleases
+    | RecordGroup
     | ReportProgress
     | ConfirmEra,
     state: ControlState,
--- a/poplarspoke/schema/control.capnp
+++ b/poplarspoke/schema/control.capnp
@@ -54,6 +54,21 @@
   start @2 :Common.Position;  # End of the log with which the term began.
 }
 
+struct MemberRecord {
+  # A member of a service that may hold acknowledged commits.
+  endpoint @0 :Text;
+  address @1 :Text;  # IP:port.
+  bornMs @2 :UInt64;  # Start of its process, ms since 1970.
+  end @3 :Common.Position;  # Of a member that left: it holds nothing beyond.
+}
+
+struct GroupRecord {
+  # Row of the members of a service with synchronous replicas.
+  service @0 :Text;
+  number @1 :UInt64;  # Increases with each change.
+  members @2 :List(MemberRecord);
+}
+
 struct EraRecord {
   # Row that confirms the records of an era of the store.
   era @0 :UInt64;  # All records that a restore had lost were written again.
--- a/tests/test_candidates.py
+++ b/tests/test_candidates.py
@@ -122,6 +122,78 @@
     assert isinstance(candidates.choose(situation), Undecided)
 
 
+# Guards against a promotion without the commits that a replica had received before
+# it left, as planned or not.
+def test_departed_replica_counts_as_missing() -> None:
+    """Nobody has started at its address; the other replica received nothing."""
+    situation = create_situation({'m3': Position(1, 4)})
+    gone = GroupMember('m2', is_gone=True)
+    situation = situation._replace(others=(*situation.others, gone))
+    assert candidates.choose(situation) == Undecided(
+        'acknowledged commits may be only on m2 (left, no successor)'
+    )
+
+
+# Guards against an outage that lasts although the commits are at hand.
+@pytest.mark.parametrize(
+    'gone',
+    [
+        GroupMember('m2', is_gone=True, end=Position(1, 9)),
+        GroupMember('m2', is_gone=True, successor='m4'),
+        GroupMember('m2', is_gone=True, successor='m4', end=Position(1, 99)),
+    ],
+    ids=['end received', 'successor', 'commits never acknowledged'],
+)
+def test_departed_replica_whose_log_is_on_others(gone: GroupMember) -> None:
+    """Another replica has received its end, or a successor has its log."""
+    logs = {'m3': Position(1, 4), 'm4': Position(1, 9)}
+    situation = create_situation(logs)
+    settled = [
+        member._replace(unchanged_s=LATE_S) for member in situation.others
+    ]
+    situation = situation._replace(others=(*settled, gone))
+    assert candidates.choose(situation) == Chosen(
+        'm4', 'has all acknowledged commits'
+    )
+
+
+# Guards against the log of a successor that is still being transferred.
+def test_growing_log_of_a_successor_proves_nothing() -> None:
+    """Its answers differ."""
+    logs = {'m3': Position(1, 4), 'm4': Position(1, 6)}
+    situation = create_situation(logs)
+    gone = GroupMember('m2', is_gone=True, successor='m4')
+    situation = situation._replace(others=(*situation.others, gone))
+    assert isinstance(candidates.choose(situation), Undecided)
+
+
+# Guards against a replica that has lost its log and received a part of it again.
+def test_replica_that_started_again_must_have_the_end_of_its_log() -> None:
+    """The primary has stated the end after the new start."""
+    logs = {'m2': Position(1, 6), 'm3': Position(1, 4)}
+    situation = create_situation(logs)
+    settled = [
+        member._replace(unchanged_s=LATE_S) for member in situation.others
+    ]
+    former = GroupMember('m2', is_gone=True, successor='m2', end=Position(1, 9))
+    situation = situation._replace(others=(*settled, former))
+    assert isinstance(candidates.choose(situation), Undecided)
+    unknown = former._replace(end=Position())
+    situation = situation._replace(others=(*settled, unknown))
+    assert isinstance(candidates.choose(situation), Chosen)
+
+
+# Guards against a promotion that hosts cannot use.
+def test_running_member_without_an_entry_is_not_promoted() -> None:
+    """It has only lost its entry; its log counts."""
+    situation = create_situation({'m3': Position(1, 4)})
+    running = GroupMember('m2', answer('m2', Position(1, 9)), is_gone=True)
+    situation = situation._replace(others=(*situation.others, running))
+    assert candidates.choose(situation) == Undecided(
+        'no member that answers has the log up to 1.9'
+    )
+
+
 # Guards against an outage in a service without synchronous replication.
 def test_longest_log_in_time_is_promoted_without_synchronous_replicas() -> None:
     """Commits are acknowledged before any replica has received them."""
