Let members of the stand-in leave, and play it in the soak

Change: members that receive nothing, end, come back and are replaced with the log that they had; commits that wait for as many replicas as the service asks; DEMOTE ends a primary.

--- a/poplarspoke/standins/metadata.py
+++ b/poplarspoke/standins/metadata.py
@@ -118,6 +118,17 @@
         self._store_row(table, key, encoded)
         self._notify()
 
+    def drop(self, table: str, key: str) -> None:
+        """Removes a row on behalf of the platform."""
+        self._version += 1
+        self._rows[table, key] = {
+            'table': table,
+            'key': key,
+            'ver': self._version,
+            'tombstone': True,
+        }
+        self._notify()
+
     def silence(self, table: str = '') -> None:
         """Stops answering on connections that are open now.
 
--- a/poplarspoke/standins/session_member.py
+++ b/poplarspoke/standins/session_member.py
@@ -1,7 +1,9 @@
 """Stand-in of a database service that speaks the session protocol.
 
 All members of the service run in one process and share one log, so that
-replicas see each commit immediately.
+replicas see each commit immediately. A member that receives nothing keeps a copy of
+the log from before. With synchronous replicas, a commit is acknowledged once as many
+members share the log.
 """
 
 import functools
@@ -13,6 +15,7 @@
 
 MAX_LINE_BYTES = 1048576
 LINE_END = b'\r\n'
+RECEIVE_INTERVAL_S = 0.005
 
 
 class Member(NamedTuple):
@@ -66,6 +69,7 @@
     Attributes:
         members: Members with their ports, the first primary first.
         log: Log that they share.
+        sync_replicas: Replicas that have received an acknowledged commit.
     """
 
     def __init__(self, name: str, members: tuple[str, ...]) -> None:
@@ -80,17 +84,23 @@
             workspaces=set(),
         )
         self.members: list[Member] = []
+        self.sync_replicas = 0
         self._names = members
+        self._deaf: set[str] = set()
+        self._down: set[str] = set()
+        # Logs of members that do not share the log now.
+        self._copies: dict[str, Log] = {}
+        self._streams: dict[str, set[ByteStream]] = {}
         self._group: TaskGroup
 
     async def __aenter__(self) -> Self:
         """Binds a listener for each member."""
         self._group = await anyio.create_task_group().__aenter__()
-        for name in self._names:
+        for slot, name in enumerate(self._names):
             listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
             address = listener.extra(SocketAttribute.local_address)
             self.members.append(Member(name, int(address[1])))
-            serve = functools.partial(self._serve, name)
+            serve = functools.partial(self._serve, slot)
             self._group.start_soon(listener.serve, serve)
         return self
 
@@ -100,15 +110,87 @@
         await self._group.__aexit__(None, None, None)
 
     def promote(self, name: str) -> None:
-        """Makes a member the primary of the next term."""
-        self.log['primary'] = name
-        self.log['term'] += 1
-
-    async def _serve(self, member: str, stream: ByteStream) -> None:
+        """Makes a member the primary of the next term, with the log that it has."""
+        if name in self._down:
+            return
+        term = self.log['term'] + 1
+        own = self._copies.pop(name, self.log)
+        self.log = Log(**{**own, 'primary': name, 'term': term})
+        self._share()
+
+    def deafen(self, name: str) -> None:
+        """Lets a replica receive nothing from now on."""
+        self._deaf.add(name)
+        self._copies.setdefault(name, self._copy(name))
+
+    def hear(self, name: str) -> None:
+        """Lets a replica receive again."""
+        self._deaf.discard(name)
+        self._share()
+
+    async def stop(self, name: str) -> None:
+        """Ends a member; it keeps its log."""
+        self._down.add(name)
+        if name != self.log['primary']:
+            self._copies.setdefault(name, self._copy(name))
+        for stream in list(self._streams.pop(name, ())):
+            await anyio.aclose_forcefully(stream)
+
+    def start(self, name: str) -> None:
+        """Starts a member again with its log."""
+        self._down.discard(name)
+        self._share()
+
+    def replace(self, name: str, successor: str) -> None:
+        """Starts a member at the address, and with the log, of one that ended."""
+        slot = [member.name for member in self.members].index(name)
+        self.members[slot] = Member(successor, self.members[slot].port)
+        self._down.discard(name)
+        self._deaf.discard(name)
+        if name in self._copies:
+            self._copies[successor] = self._copies.pop(name)
+        self._share()
+
+    def is_up(self, name: str) -> bool:
+        """Returns whether a member runs."""
+        return name not in self._down
+
+    def _copy(self, name: str) -> Log:
+        known = self._copies.get(name, self.log)
+        copied = Log(**known)
+        copied['items'] = dict(known['items'])
+        copied['runs'] = list(known['runs'])
+        return copied
+
+    def _share(self) -> None:
+        """Lets the members that receive take over the log of the primary."""
+        if self.log['primary'] in self._down:
+            return
+        for name in list(self._copies):
+            if name not in self._deaf and name not in self._down:
+                self._copies.pop(name)
+
+    def _is_received(self) -> bool:
+        """Returns whether as many replicas as needed share the log."""
+        sharing = [
+            member.name
+            for member in self.members
+            if member.name not in self._copies
+            and member.name not in self._down
+            and member.name != self.log['primary']
+        ]
+        return len(sharing) >= self.sync_replicas
+
+    async def _serve(self, slot: int, stream: ByteStream) -> None:
+        member = self.members[slot].name
+        if member in self._down:
+            await anyio.aclose_forcefully(stream)
+            return
         lines = BufferedByteReceiveStream(stream)
         session = Session(
             member=member, phase='I', written={}, prepared={}, request=''
         )
+        self._streams.setdefault(member, set()).add(stream)
         async with stream:
             try:
                 await self._serve_lines(session, stream, lines)
@@ -118,6 +200,8 @@
                 anyio.ClosedResourceError,
             ):
                 return
+            finally:
+                self._streams.get(member, set()).discard(stream)
 
     async def _serve_lines(
         self,
@@ -134,29 +218,59 @@
             await stream.send(b'ERROR MISROUTED wrong member\r\n')
             return
         self.log['workspaces'].add(workspace)
-        await stream.send(f'READY I {_format_position(self.log)}\r\n'.encode())
+        await self._send(session, stream, [])
         while True:
             line = await _receive_line(lines)
+            number = self.log['number']
             answer = self._answer(session, line)
-            ready = f'READY {session["phase"]} {_format_position(self.log)}'
-            text = '\r\n'.join((*answer, ready, ''))
-            await stream.send(text.encode())
+            if self.log['number'] > number:
+                await self._wait_for_receivers(session)
+            await self._send(session, stream, answer)
+
+    async def _send(
+        self, session: Session, stream: ByteStream, answer: list[str]
+    ) -> None:
+        position = _format_position(self._find_log(session))
+        ready = f'READY {session["phase"]} {position}'
+        text = '\r\n'.join((*answer, ready, ''))
+        await stream.send(text.encode())
+
+    async def _wait_for_receivers(self, session: Session) -> None:
+        """Waits until a commit is received by as many replicas as needed."""
+        term = self.log['term']
+        while not self._is_received():
+            await anyio.sleep(RECEIVE_INTERVAL_S)
+            if session['member'] in self._down or self.log['term'] != term:
+                raise anyio.ClosedResourceError
+
+    def _find_log(self, session: Session) -> Log:
+        """Returns the log of the member that a session is with."""
+        copied = self._copies.get(session['member'])
+        if copied is None:
+            return self.log
+        return Log(**{**copied, 'primary': self.log['primary']})
 
     def _answer(self, session: Session, line: str) -> list[str]:
         _word, request, text = line.split(' ', 2)
         session['request'] = request
         verb, _, fields = text.partition(' ')
+        log = self._find_log(session)
         if verb == 'AFTER':
-            _position, _, text = fields.partition(' ')
+            position, _, text = fields.partition(' ')
             verb, _, fields = text.partition(' ')
-        if verb == 'EXECUTE':
-            name, _, fields = fields.partition(' ')
-            if name not in session['prepared']:
-                return ['ERROR NOSTMT unknown name']
-            verb = session['prepared'][name]
-        run = STATEMENTS.get(verb, _acknowledge)
-        answer: list[str] = run(self.log, session, fields)
-        return answer
+            if _parse_position(position) > (log['term'], log['number']):
+                return ['ERROR LAGGING behind']
+        return _run(log, session, verb, fields)
+
+
+def _run(log: Log, session: Session, verb: str, fields: str) -> list[str]:
+    if verb == 'EXECUTE':
+        name, _, fields = fields.partition(' ')
+        if name not in session['prepared']:
+            return ['ERROR NOSTMT unknown name']
+        verb = session['prepared'][name]
+    answer: list[str] = STATEMENTS.get(verb, _acknowledge)(log, session, fields)
+    return answer
 
 
 async def _receive_line(lines: BufferedByteReceiveStream) -> str:
@@ -164,6 +278,11 @@
     return line.decode()
 
 
+def _parse_position(position: str) -> tuple[int, int]:
+    term, _, number = position.partition('.')
+    return int(term), int(number)
+
+
 def _format_position(log: Log) -> str:
     return f'{log["term"]}.{log["number"]}'
 
@@ -219,6 +338,13 @@
     return [f'ROW {role} {term} {_format_position(log)} 0 0 0 1', 'COMPLETE -']
 
 
+def _demote(log: Log, session: Session, fields: str) -> list[str]:
+    is_primary = session['member'] == log['primary']
+    if is_primary and int(fields) > log['term']:
+        log['primary'] = ''
+    return _report_status(log, session, fields)
+
+
 def _apply(log: Log, session: Session) -> None:
     if session['written']:
         log['number'] += 1
@@ -235,5 +361,5 @@
     'ROLLBACK': _roll_back,
     'PREPARE': _prepare,
     'STATUS': _report_status,
-    'DEMOTE': _report_status,
+    'DEMOTE': _demote,
 }
--- a/tests/session_soak.py
+++ b/tests/session_soak.py
@@ -4,12 +4,14 @@
 A seed selects the faults, which overlap: hosts are paused, killed and
 terminated, the store is down, is restored from a copy or falls silent on open
 connections, primaries drain, and a loopback proxy before the store and each member
-delays, withholds or resets the data of connections. The checks compare the answers to callers with the log of the members: a session
+delays, withholds or resets the data of connections. With synchronous replicas,
+members also crash, receive nothing, and leave and are replaced late. The checks
+compare the answers to callers with the log of the members: a session
 reads its own acknowledged writes, no write runs twice, no refused write ran, no
 acknowledged write is lost, fencing tokens do not decrease, and usage reports
 follow their rule.
 
-Run by hand: ``python -m tests.session_soak SEED [COUNT [SECONDS]]``.
+Run by hand: ``python -m tests.session_soak SEED [COUNT [SECONDS [SYNC_REPLICAS]]]``.
 """
 
 import contextlib
@@ -45,6 +47,8 @@
 MEMBERS = ('m1', 'm2', 'm3')
 CALLERS = 6
 RECOVERY_S = 12
+# The entry of a member that crashed expires after three heartbeats.
+EXPIRY_S = 3.6
 # Cause of each seed that failed in the past.
 REGRESSIONS: dict[int, str] = {}
 
@@ -125,13 +129,16 @@
 class Soak:
     """A run against real host processes, and the violations it found."""
 
-    def __init__(self, seed: int, folder: Path, hosts: int) -> None:
+    def __init__(
+        self, seed: int, folder: Path, hosts: int, sync_replicas: int = 0
+    ) -> None:
         """Creates a run.
 
         Args:
             seed: Seed of all random choices.
             folder: Folder for the hosts' settings and logs.
             hosts: Number of hosts.
+            sync_replicas: Replicas that have received an acknowledged commit.
         """
         self.rng = random.Random(seed)
         self.violations: list[Violation] = []
@@ -143,7 +150,12 @@
         self._ports = find_free_ports(hosts * 4)
         self._processes: dict[int, Process] = {}
         self.service = Service('group', MEMBERS)
-        self.store = MetadataStandIn(self.service.promote)
+        self.service.sync_replicas = sync_replicas
+        self.store = MetadataStandIn(self._promote)
+        self._draining: set[str] = set()
+        # Members that have left and have no successor yet.
+        self._vacant: list[str] = []
+        self._started = len(MEMBERS)
         self.proxies: dict[str, Proxy] = {}
 
     async def run(self, seconds: float) -> None:
@@ -187,15 +199,41 @@
         config = {
             'version': 1,
             'routes': routes,
-            'services': [{'name': 'group', 'maxConns': 16}],
+            'services': [
+                {
+                    'name': 'group',
+                    'maxConns': 16,
+                    'syncReplicas': self.service.sync_replicas,
+                }
+            ],
             'limits': {'txIdleMs': 3000},
             'tenants': [{**workspace, 'ratePerS': 5000, 'burst': 5000}],
         }
         self.store.put('op', 'config', config)
-        for name in MEMBERS:
-            self._put_server_row(name)
+        self._put_server_rows()
+
+    def _put_server_rows(self) -> None:
+        """Writes the entries of the members that run, as they report them."""
+        for name, _port in self.service.members:
+            if name in self._vacant:
+                self.store.drop('servers', name)
+            elif self.service.is_up(name):
+                self._put_server_row(name)
+
+    def _promote(self, name: str) -> None:
+        """Promotes a member; the members report their roles at once."""
+        self.service.promote(name)
+        self._put_server_rows()
+
+    def _list_replicas(self) -> list[str]:
+        primary = self.service.log['primary']
+        return [
+            name
+            for name, _port in self.service.members
+            if name != primary and self.service.is_up(name)
+        ]
 
-    def _put_server_row(self, name: str, state: str = 'ready') -> None:
+    def _put_server_row(self, name: str) -> None:
         is_primary = self.service.log['primary'] == name
         entry = {
             'service': 'group',
@@ -203,7 +241,7 @@
             'zone': 'z1',
             'version': 'v1',
             'slots': 2,
-            'state': state,
+            'state': 'draining' if name in self._draining else 'ready',
             'coldRemainingMs': 0,
             'dbRole': 'primary' if is_primary else 'replica',
             'seq': 1,
@@ -280,7 +318,7 @@
             )
 
     async def _inject_faults(self) -> None:
-        faults = (
+        faults = [
             self._pause_host,
             self._restart_host,
             self._break_link,
@@ -289,7 +327,14 @@
             self._silence_store,
             self._refuse_reports,
             self._drain_primary,
-        )
+        ]
+        if self.service.sync_replicas:
+            faults += [
+                self._crash_primary,
+                self._deafen_replica,
+                self._replace_replica,
+                self._fail_in_series,
+            ]
         async with anyio.create_task_group() as group:
             while True:
                 group.start_soon(self.rng.choice(faults))
@@ -343,18 +388,93 @@
 
     async def _drain_primary(self) -> None:
         name = self.service.log['primary']
-        self._put_server_row(name, 'draining')
+        self._draining.add(name)
+        self._put_server_rows()
         await anyio.sleep(self.rng.uniform(1, 4))
-        for member in MEMBERS:
-            self._put_server_row(member)
+        self._draining.discard(name)
+        self._put_server_rows()
+
+    async def _crash_primary(self) -> None:
+        name = self.service.log['primary']
+        if not self.service.is_up(name):
+            return
+        await self.service.stop(name)
+        down_s = self.rng.uniform(0.5, 7)
+        await anyio.sleep(min(down_s, EXPIRY_S))
+        if down_s > EXPIRY_S:
+            self.store.drop('servers', name)
+            await anyio.sleep(down_s - EXPIRY_S)
+        self.service.start(name)
+        self._put_server_rows()
+
+    async def _deafen_replica(self) -> None:
+        replicas = self._list_replicas()
+        if not replicas:
+            return
+        name = self.rng.choice(replicas)
+        self.service.deafen(name)
+        await anyio.sleep(self.rng.uniform(0.5, 6.5))
+        self.service.hear(name)
+
+    async def _fail_in_series(self) -> None:
+        """Leaves the last commits on the primary and on one that leaves."""
+        replicas = self._list_replicas()
+        if self._vacant or len(replicas) < 2:
+            return
+        leaving, behind = self.rng.sample(replicas, 2)
+        self.service.deafen(behind)
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._leave, leaving)
+            await anyio.sleep(self.rng.uniform(3, 5))
+            group.start_soon(self._crash_primary)
+            await anyio.sleep(self.rng.uniform(2, 5))
+            self.service.hear(behind)
+
+    async def _replace_replica(self) -> None:
+        replicas = self._list_replicas()
+        if replicas:
+            await self._leave(self.rng.choice(replicas))
+
+    async def _leave(self, name: str) -> None:
+        """Lets a replica leave; a successor starts late, or after the faults."""
+        if self._vacant:
+            return
+        self._draining.add(name)
+        self._put_server_rows()
+        await anyio.sleep(self.rng.uniform(0.5, 3))
+        if self._vacant or name not in self._list_replicas():
+            self._draining.discard(name)
+            return
+        self._vacant.append(name)
+        await self.service.stop(name)
+        self._put_server_rows()
+        await anyio.sleep(self.rng.choice((0.5, 5, 60)))
+        self._start_successor()
+
+    def _start_successor(self) -> None:
+        """Starts a member at the address of the one that has left."""
+        if not self._vacant:
+            return
+        name = self._vacant.pop()
+        self._started += 1
+        successor = f'm{self._started}'
+        self.store.drop('servers', name)
+        self.proxies[successor] = self.proxies.pop(name)
+        self.service.replace(name, successor)
+        self._draining.discard(name)
+        self._put_server_rows()
 
     async def _clear_faults(self) -> None:
         self.store.down = False
         self.store.usage_status = 0
         for proxy in self.proxies.values():
             proxy.mode = 'pass'
-        for name in MEMBERS:
-            self._put_server_row(name)
+        self._draining.clear()
+        self._start_successor()
+        for name, _port in self.service.members:
+            self.service.start(name)
+            self.service.hear(name)
+        self._put_server_rows()
         for number, process in self._processes.items():
             if process.returncode is not None:
                 await self._start_host(number)
@@ -437,21 +557,35 @@
         self.violations.append(Violation(guarantee, str(evidence)))
 
 
-def run_seed(seed: int, folder: Path, *, seconds: float, hosts: int) -> Soak:
+def run_seed(
+    seed: int,
+    folder: Path,
+    *,
+    seconds: float,
+    hosts: int,
+    sync_replicas: int = 0,
+) -> Soak:
     """Runs one seed and returns the finished run."""
-    soak = Soak(seed, folder, hosts)
+    soak = Soak(seed, folder, hosts, sync_replicas)
     anyio.run(soak.run, seconds)
     return soak
 
 
 def main(args: list[str]) -> int:
     """Runs consecutive seeds; returns 1 if any guarantee was violated."""
-    first, count, seconds = (*map(int, args), *(0, 1, 10)[len(args) :])
+    defaults = (0, 1, 10, 0)[len(args) :]
+    first, count, seconds, sync_replicas = (*map(int, args), *defaults)
     failed = 0
     for seed in range(first, first + count):
         folder = ROOT / 'out' / 'soak' / str(seed)
         folder.mkdir(parents=True, exist_ok=True)
-        soak = run_seed(seed, folder, seconds=seconds, hosts=3)
+        soak = run_seed(
+            seed,
+            folder,
+            seconds=seconds,
+            hosts=3,
+            sync_replicas=sync_replicas,
+        )
         failed += bool(soak.violations)
         sys.stdout.write(
             f'seed {seed}: {soak.answered} writes, {soak.violations or "held"}\n',
--- a/tests/test_session_host.py
+++ b/tests/test_session_host.py
@@ -149,7 +149,13 @@
         config = {
             'version': version,
             'routes': routes,
-            'services': [{'name': 'group', 'maxConns': 16}],
+            'services': [
+                {
+                    'name': 'group',
+                    'maxConns': 16,
+                    'syncReplicas': self.service.sync_replicas,
+                }
+            ],
             'limits': {'txIdleMs': 3000},
             'tenants': [{**tenant, 'ratePerS': 1000, 'burst': 1000}],
         }
--- a/tests/test_session_soak.py
+++ b/tests/test_session_soak.py
@@ -10,9 +10,18 @@
 
 
 @pytest.mark.processes
+@pytest.mark.parametrize('sync_replicas', [0, 1])
 @pytest.mark.parametrize('seed', [1, *session_soak.REGRESSIONS])
-def test_guarantees_hold_under_faults(seed: int, tmp_path: Path) -> None:
+def test_guarantees_hold_under_faults(
+    seed: int, sync_replicas: int, tmp_path: Path
+) -> None:
     """Guards the guarantees to callers while processes and links fail."""
-    soak = session_soak.run_seed(seed, tmp_path, seconds=SHORT_S, hosts=2)
+    soak = session_soak.run_seed(
+        seed,
+        tmp_path,
+        seconds=SHORT_S,
+        hosts=2,
+        sync_replicas=sync_replicas,
+    )
     assert soak.violations == []
     assert soak.answered
