Take no evidence about processes that end during the queries

Cause: found by reading. The end of a departed member's log was taken from the answers of a round of queries for all members that had left when the round ended. A replica that answered with the whole log and then started again without it counted as one that held nothing beyond those answers, and was taken out of the row, although commits may have been acknowledged on its word since. Change: a round names the processes that had left when it began; later ones wait for the next round. Result: test_process_that_ends_during_the_queries_is_kept fails without the condition (the row names m1 and m3 only) and passes with it.

--- a/poplarspoke/control/groups.py
+++ b/poplarspoke/control/groups.py
@@ -20,6 +20,7 @@
     ENDPOINTS,
     RECORDS,
     ControlState,
+    Incarnation,
     Probe,
     RecordGroup,
 )
@@ -89,7 +90,13 @@
     if now_s - probe.asked_s < PROBE_TIMEOUT_S:
         return []
     state['probes'].pop(rule.name)
-    needed = coverage.list_needed(departed, _observe(state, rule, probe))
+    observed = [
+        member for member in departed if _identify(member) in probe.departed
+    ]
+    # The answers prove nothing about members that have left since.
+    later = [member for member in departed if member not in observed]
+    observation = _observe(state, rule, probe)
+    needed = [*coverage.list_needed(observed, observation), *later]
     return [
         *_log_changes(rule.name, departed, needed),
         *_write(state, rule.name, needed, now_s),
@@ -106,7 +113,8 @@
     if not departed or now_s < state['next_probe_s'].get(service, 0):
         return []
     state['next_probe_s'][service] = now_s + PROBE_INTERVAL_S
-    state['probes'][service] = Probe(now_s, {})
+    processes = frozenset(map(_identify, departed))
+    state['probes'][service] = Probe(now_s, processes, {})
     addresses = members.list_departed_addresses(state, service)
     addresses.update(
         (entry.endpoint, entry.address)
@@ -118,6 +126,10 @@
     ]
 
 
+def _identify(member: MemberRecord) -> Incarnation:
+    return Incarnation(member.endpoint, member.born_ms)
+
+
 def _list_registered(state: ControlState, service: str) -> list[EndpointEntry]:
     return [
         entry
@@ -170,10 +182,10 @@
     service: str, departed: list[MemberRecord], needed: list[MemberRecord]
 ) -> list[Any]:
     """Returns a log line for each departed member of which more is known."""
-    ends = {(one.endpoint, one.born_ms): one.end for one in needed}
+    ends = {_identify(member): member.end for member in needed}
     lines: list[Any] = []
     for member in departed:
-        end = ends.get((member.endpoint, member.born_ms))
+        end = ends.get(_identify(member))
         if end == member.end:
             continue
         event = 'departed member retained'
--- a/poplarspoke/control/state.py
+++ b/poplarspoke/control/state.py
@@ -285,10 +285,12 @@
 
     Attributes:
         asked_s: When the queries were sent; the answers repeat it.
+        departed: Processes that had left by then.
         answers: Answers by endpoint.
     """
 
     asked_s: float
+    departed: frozenset[Incarnation]
     answers: dict[str, EndpointState]
 
 
--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -160,6 +160,26 @@
     assert not simulation.orders
 
 
+# Guards against answers that are taken as evidence about a process that ended after
+# they were given.
+def test_process_that_ends_during_the_queries_is_kept(
+    simulation: ControlSimulation,
+) -> None:
+    """A replica answers with the whole log, and starts again without it."""
+    simulation.sync_replicas = 1
+    simulation.configure(2)
+    simulation.run(1)
+    receive(simulation, 'm3', Position(1, 10))
+    leave(simulation, 'm2')
+    leader = simulation.hosts[simulation.read_record('duty')['holder']]
+    while not leader['probes']:
+        simulation.run(TICK_S)
+    simulation.set_entry('m3', born_ms=5)
+    receive(simulation, 'm3', Position(1, 2))
+    simulation.run(3)
+    assert read_group(simulation) == ['m1', 'm3', 'm3']
+
+
 # Guards against calls of the store and queries that services do not need.
 def test_members_are_recorded_for_synchronous_replicas_only(
     simulation: ControlSimulation,
