Dispatch on the statement that begins an operation at a shutdown

Change: may_start is a singledispatch, identify takes entries and records, and the variable says is_configured. No behaviour.

--- a/poplarspoke/control/failover.py
+++ b/poplarspoke/control/failover.py
@@ -165,8 +165,8 @@
     situation = members.describe_situation(state, failover, step, now_s)
     choice = candidates.choose(situation)
     # The configuration says whether replicas are synchronous.
-    is_informed = bool(state['ruleset'].version)
-    if is_informed and now_s >= state['first_order_s']:
+    is_configured = bool(state['ruleset'].version)
+    if is_configured and now_s >= state['first_order_s']:
         outgoing = _handle_choice(choice, situation, state, failover, now_s)
     else:
         outgoing = []
--- a/poplarspoke/control/groups.py
+++ b/poplarspoke/control/groups.py
@@ -20,9 +20,9 @@
     ENDPOINTS,
     RECORDS,
     ControlState,
-    Incarnation,
     Probe,
     RecordGroup,
+    identify,
 )
 from poplarspoke.generated.control import (
     EndpointState,
@@ -91,7 +91,7 @@
         return []
     state['probes'].pop(rule.name)
     observed = [
-        member for member in departed if _identify(member) in probe.departed
+        member for member in departed if identify(member) in probe.departed
     ]
     # The answers prove nothing about members that have left since.
     later = [member for member in departed if member not in observed]
@@ -113,7 +113,7 @@
     if not departed or now_s < state['next_probe_s'].get(service, 0):
         return []
     state['next_probe_s'][service] = now_s + PROBE_INTERVAL_S
-    processes = frozenset(map(_identify, departed))
+    processes = frozenset(map(identify, departed))
     state['probes'][service] = Probe(now_s, processes, {})
     addresses = members.list_departed_addresses(state, service)
     addresses.update(
@@ -126,10 +126,6 @@
     ]
 
 
-def _identify(member: MemberRecord) -> Incarnation:
-    return Incarnation(member.endpoint, member.born_ms)
-
-
 def _list_registered(state: ControlState, service: str) -> list[EndpointEntry]:
     return [
         entry
@@ -182,10 +178,10 @@
     service: str, departed: list[MemberRecord], needed: list[MemberRecord]
 ) -> list[Any]:
     """Returns a log line for each departed member of which more is known."""
-    ends = {_identify(member): member.end for member in needed}
+    ends = {identify(member): member.end for member in needed}
     lines: list[Any] = []
     for member in departed:
-        end = ends.get(_identify(member))
+        end = ends.get(identify(member))
         if end == member.end:
             continue
         event = 'departed member retained'
--- a/poplarspoke/control/members.py
+++ b/poplarspoke/control/members.py
@@ -6,7 +6,6 @@
 from poplarspoke.control.state import (
     ControlState,
     Failover,
-    Incarnation,
     SelectingCandidate,
     find_sync_replicas,
     identify,
@@ -103,7 +102,7 @@
     }
     recorded = state['groups'].get(service, GroupRecord())
     for member in recorded.members:
-        departed[Incarnation(member.endpoint, member.born_ms)] = member
+        departed[identify(member)] = member
     for entry in state['endpoints'].values():
         departed.pop(identify(entry), None)
     return [departed[process] for process in sorted(departed)]
--- a/poplarspoke/control/state.py
+++ b/poplarspoke/control/state.py
@@ -15,6 +15,7 @@
     GroupRecord,
     HostRecord,
     LeaderRecord,
+    MemberRecord,
     PrimaryRecord,
     Reachability,
     TableRow,
@@ -638,9 +639,9 @@
     return 0
 
 
-def identify(entry: EndpointEntry) -> Incarnation:
-    """Returns the process that an entry names."""
-    return Incarnation(entry.endpoint, entry.born_ms)
+def identify(member: EndpointEntry | MemberRecord) -> Incarnation:
+    """Returns the process that an entry or a record names."""
+    return Incarnation(member.endpoint, member.born_ms)
 
 
 def _create_table() -> Table:
--- a/poplarspoke/control/tables.py
+++ b/poplarspoke/control/tables.py
@@ -31,7 +31,6 @@
     RULES_KEY,
     TERM_PREFIX,
     ControlState,
-    Incarnation,
     LostEndpoint,
     Table,
     VersionedLeader,
@@ -470,9 +469,8 @@
 def _apply_group(state: ControlState, record: GroupRecord) -> None:
     """Replaces the members of a service, and forgets those left out."""
     former = state['groups'].get(record.service, GroupRecord())
-    kept = {(member.endpoint, member.born_ms) for member in record.members}
-    for member in former.members:
-        process = Incarnation(member.endpoint, member.born_ms)
+    kept = set(map(identify, record.members))
+    for process in map(identify, former.members):
         if process not in kept:
             state['lost'].pop(process, None)
     state['groups'][record.service] = record
--- a/poplarspoke/relay/operations.py
+++ b/poplarspoke/relay/operations.py
@@ -73,7 +73,7 @@
     session['workspace'] = workspace
     operation = _open_operation(state, session, statement, now_s)
     timeout_s = route.statement_timeout_s
-    if not shutdown.may_start(state, statement, timeout_s, now_s):
+    if not shutdown.may_start(statement, state, timeout_s, now_s):
         return outcomes.refuse_retryable(
             state,
             operation,
--- a/poplarspoke/relay/shutdown.py
+++ b/poplarspoke/relay/shutdown.py
@@ -7,6 +7,7 @@
 its deadline is the end of the host, if that comes before the timeout of its route.
 """
 
+import functools
 import math
 from typing import Any
 
@@ -51,18 +52,25 @@
     return now_s + timeout_s <= find_end(state)
 
 
+@functools.singledispatch
 def may_start(
-    state: RelayState, statement: Any, timeout_s: float, now_s: float
+    statement: Any, state: RelayState, timeout_s: float, now_s: float
 ) -> bool:
-    """Returns whether an operation that arrives now is accepted.
-
-    A transaction needs time for more statements than the first.
-    """
-    if isinstance(statement, BeginTransaction):
-        return now_s <= find_transaction_end(state)
+    """Returns whether an operation is accepted that a statement starts now."""
     return may_run(state, timeout_s, now_s)
 
 
+@may_start.register
+def _(
+    statement: BeginTransaction,
+    state: RelayState,
+    timeout_s: float,
+    now_s: float,
+) -> bool:
+    # A transaction needs time for more statements than the first.
+    return now_s <= find_transaction_end(state)
+
+
 def limit_deadlines(state: RelayState) -> None:
     """Ends the open operations with the host, once the shutdown has begun."""
     end_s = find_end(state)
