Start hosts again that were ending when the faults of a soak ended

The logs of its hosts show why: h0 got its SIGTERM 2.7 s after its start and ended as planned 3 s later, after the faults had ended, and was never started again; h1 wrote nothing after 3.55 s, the moment at which the faults ended. The task that starts a host again is cancelled with the faults, and the end of the faults started only hosts whose process had been reaped by then. Change: a host that was told to end is waited for, and started. The checks and bounds are the same; recovery is measured with all hosts running, as before.

--- a/tests/session_soak.py
+++ b/tests/session_soak.py
@@ -149,6 +149,8 @@
         self._hosts = hosts
         self._ports = find_free_ports(hosts * 4)
         self._processes: dict[int, Process] = {}
+        # Hosts that have been told to end and are to be started again.
+        self._ending: set[int] = set()
         self.service = Service('group', MEMBERS)
         self.service.sync_replicas = sync_replicas
         self.store = MetadataStandIn(self._promote)
@@ -306,6 +308,7 @@
                 'usageOff': 0.05,
             },
         }
+        self._ending.discard(number)
         path = self._folder / f'h{number}.yaml'
         path.write_text(yaml.safe_dump(settings))
         with (self._folder / f'h{number}.log').open('ab') as log:
@@ -353,6 +356,7 @@
         process = self._processes[number]
         if process.returncode is not None:
             return
+        self._ending.add(number)
         with contextlib.suppress(ProcessLookupError):
             process.send_signal(kind)
             process.send_signal(signal.SIGCONT)
@@ -475,12 +479,13 @@
             self.service.start(name)
             self.service.hear(name)
         self._put_server_rows()
-        for number, process in self._processes.items():
-            if process.returncode is not None:
-                await self._start_host(number)
-                continue
+        for number, process in list(self._processes.items()):
             with contextlib.suppress(ProcessLookupError):
                 process.send_signal(signal.SIGCONT)
+            if number in self._ending:
+                await process.wait()
+            if process.returncode is not None:
+                await self._start_host(number)
 
     async def _kill_processes(self) -> None:
         for process in self._processes.values():
